Add the workspace, the kernel, the model, the JSON codecs and the fiber runtime

The kernel keeps a registry of self-registering modules, checks their settings and starts them in the order of their dependencies. The fiber scheduler waits inside io_context::run_one_until instead of keeping a timer, so that a waiting thread stays idle; a test bounds the processor time of one second of waiting at 10 ms.

--- /dev/null
+++ b/packages/kernel/extension_point.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <utility>
+#include <vector>
+
+namespace poplarfront::kernel {
+
+/// A list of entries of one type that packages add to while the program is loaded. The entry type
+/// names the point: each package that wants to extend it keeps a static `registration`.
+///
+/// Thread safety: entries are added during static initialisation, on one thread, and are only read
+/// afterwards.
+template <class Entry>
+class extension_point {
+public:
+    class registration {
+    public:
+        explicit registration(Entry entry) { storage().push_back(std::move(entry)); }
+    };
+
+    /// All entries, in no particular order.
+    [[nodiscard]] static const std::vector<Entry>& entries() { return storage(); }
+
+private:
+    static std::vector<Entry>& storage() {
+        static std::vector<Entry> entries;
+        return entries;
+    }
+};
+
+}  // namespace poplarfront::kernel
--- /dev/null
+++ b/packages/kernel/internal/settings.cpp
@@ -0,0 +1,182 @@
+#include "kernel/settings.h"
+
+#include <ini.h>
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+
+namespace poplarfront::kernel {
+namespace {
+
+/// What the INI callbacks share while one text is parsed.
+struct parse_state {
+    std::string_view rest;
+    int line = 0;
+    bool line_too_long = false;
+    std::vector<ini_entry> entries;
+};
+
+char* read_line(char* buffer, int size, void* stream) {
+    auto& state = *static_cast<parse_state*>(stream);
+    if (state.rest.empty()) {
+        return nullptr;
+    }
+    ++state.line;
+    const auto end = state.rest.find('\n');
+    const auto length = end == std::string_view::npos ? state.rest.size() : end;
+    const auto room = static_cast<std::size_t>(size - 1);
+    state.line_too_long = state.line_too_long || length > room;
+    const auto copied = std::min(length, room);
+    std::memcpy(buffer, state.rest.data(), copied);
+    buffer[copied] = '\0';
+    state.rest.remove_prefix(std::min(length + 1, state.rest.size()));
+    return buffer;
+}
+
+int add_entry(void* user, const char* section, const char* name, const char* value) {
+    auto& state = *static_cast<parse_state*>(user);
+    if (state.line_too_long || name == nullptr) {
+        return 0;
+    }
+    state.entries.push_back({section, name, value == nullptr ? "" : value, state.line});
+    return 1;
+}
+
+std::string trimmed(std::string_view text) {
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    const auto last = text.find_last_not_of(" \t");
+    return std::string{text.substr(first, last - first + 1)};
+}
+
+std::optional<std::int64_t> to_integer(std::string_view text) {
+    std::int64_t n = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (ec != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return n;
+}
+
+bool is_address(std::string_view text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return false;
+    }
+    constexpr std::int64_t max_port = 65535;
+    const auto port = to_integer(text.substr(colon + 1));
+    return port && *port >= 0 && *port <= max_port;
+}
+
+bool is_identifier(std::string_view text) {
+    constexpr std::size_t max_length = 64;
+    constexpr std::string_view allowed =
+        "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
+    return !text.empty() && text.size() <= max_length &&
+           text.find_first_not_of(allowed) == std::string_view::npos;
+}
+
+/// What a value must be, or nothing if it is valid.
+std::optional<std::string> violation(const setting_descriptor& descriptor,
+                                     const std::string& value) {
+    switch (descriptor.kind) {
+        case setting_kind::integer: {
+            const auto n = to_integer(value);
+            if (!n || *n < descriptor.minimum || *n > descriptor.maximum) {
+                return fmt::format("an integer from {} to {}", descriptor.minimum,
+                                   descriptor.maximum);
+            }
+            return std::nullopt;
+        }
+        case setting_kind::address:
+            return is_address(value) ? std::nullopt
+                                     : std::optional<std::string>{"an address as IP:PORT"};
+        case setting_kind::identifier:
+            return is_identifier(value)
+                       ? std::nullopt
+                       : std::optional<std::string>{"1 to 64 letters, digits, '.', '_' or '-'"};
+        case setting_kind::text:
+        case setting_kind::list:
+            return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+}  // namespace
+
+result<std::vector<ini_entry>> parse_ini(std::string_view file, std::string_view text) {
+    parse_state state{.rest = text};
+    const int error_line = ini_parse_stream(read_line, &state, add_entry, &state);
+    if (state.line_too_long) {
+        return boost::leaf::new_error(
+            settings_error{fmt::format("{}: a line up to line {} is too long", file, state.line)});
+    }
+    if (error_line != 0) {
+        return boost::leaf::new_error(settings_error{
+            fmt::format("{}:{}: expected [section], key = value or a comment", file, error_line)});
+    }
+    return std::move(state.entries);
+}
+
+result<settings> settings::parse(std::string_view file, std::string_view text,
+                                 const std::vector<setting_descriptor>& known) {
+    BOOST_LEAF_AUTO(entries, parse_ini(file, text));
+    values found;
+    for (const auto& entry : entries) {
+        const auto descriptor = std::find_if(known.begin(), known.end(), [&](const auto& it) {
+            return it.section == entry.section && it.key == entry.key;
+        });
+        if (descriptor == known.end()) {
+            return boost::leaf::new_error(settings_error{fmt::format(
+                "{}:{}: [{}] {}: unknown key", file, entry.line, entry.section, entry.key)});
+        }
+        if (const auto expected = violation(*descriptor, entry.value)) {
+            return boost::leaf::new_error(
+                settings_error{fmt::format("{}:{}: [{}] {}: \"{}\" is not {}", file, entry.line,
+                                           entry.section, entry.key, entry.value, *expected)});
+        }
+        if (!found.emplace(std::pair{entry.section, entry.key}, entry.value).second) {
+            return boost::leaf::new_error(settings_error{fmt::format(
+                "{}:{}: [{}] {}: given twice", file, entry.line, entry.section, entry.key)});
+        }
+    }
+    for (const auto& descriptor : known) {
+        const std::pair key{descriptor.section, descriptor.key};
+        if (found.contains(key)) {
+            continue;
+        }
+        if (!descriptor.default_value) {
+            return boost::leaf::new_error(settings_error{fmt::format(
+                "{}: [{}] {}: required key is missing", file, descriptor.section, descriptor.key)});
+        }
+        found.emplace(key, *descriptor.default_value);
+    }
+    return settings{std::move(found)};
+}
+
+const std::string& settings::text(std::string_view section, std::string_view key) const {
+    return values_.at({std::string{section}, std::string{key}});
+}
+
+std::int64_t settings::integer(std::string_view section, std::string_view key) const {
+    return to_integer(text(section, key)).value_or(0);
+}
+
+std::vector<std::string> settings::list(std::string_view section, std::string_view key) const {
+    std::vector<std::string> parts;
+    std::string_view rest = text(section, key);
+    while (!rest.empty()) {
+        const auto comma = std::min(rest.find(','), rest.size());
+        if (auto part = trimmed(rest.substr(0, comma)); !part.empty()) {
+            parts.push_back(std::move(part));
+        }
+        rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+    return parts;
+}
+
+}  // namespace poplarfront::kernel
--- /dev/null
+++ b/packages/kernel/module_registration.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <concepts>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "kernel/extension_point.h"
+#include "kernel/module_context.h"
+#include "kernel/result.h"
+#include "kernel/settings.h"
+
+namespace poplarfront::kernel {
+
+/// Why a module could not start.
+struct module_error {
+    std::string module;
+    std::string message;
+    friend auto operator<=>(const module_error&, const module_error&) = default;
+};
+
+/// What the kernel knows of a module before it creates it.
+struct module_descriptor {
+    std::string name;
+    /// Modules that are created before this one and stopped after it.
+    std::vector<std::string> dependencies;
+    std::vector<setting_descriptor> settings;
+};
+
+/// A running module, without its type.
+struct running_module {
+    std::string name;
+    std::function<result<void>()> start;
+    std::function<void()> stop;
+};
+
+/// A module as the registry keeps it.
+struct module_entry {
+    module_descriptor descriptor;
+    std::function<result<running_module>(module_context&)> create;
+};
+
+/// A plug-in: `create` builds its objects and provides services, `start` begins work, `stop` ends
+/// it and returns when nothing of the module runs any more.
+template <class T>
+concept module_type = requires(T& module, module_context& context) {
+    { T::descriptor() } -> std::same_as<module_descriptor>;
+    { T::create(context) } -> std::same_as<result<std::shared_ptr<T>>>;
+    { module.start() } -> std::same_as<result<void>>;
+    { module.stop() } -> std::same_as<void>;
+};
+
+/// Registers a module with the kernel. Each `<name>_module.cpp` holds one static object of it.
+template <module_type Module>
+class module_registration {
+public:
+    module_registration()
+        : registration_(module_entry{Module::descriptor(),
+                                     [](module_context& context) -> result<running_module> {
+                                         BOOST_LEAF_AUTO(module, Module::create(context));
+                                         return running_module{Module::descriptor().name,
+                                                               [module] { return module->start(); },
+                                                               [module] { module->stop(); }};
+                                     }}) {}
+
+private:
+    extension_point<module_entry>::registration registration_;
+};
+
+}  // namespace poplarfront::kernel
--- /dev/null
+++ b/packages/kernel/settings.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "kernel/result.h"
+
+namespace poplarfront::kernel {
+
+/// Why settings were refused: the message names file, line, section, key and the allowed range.
+struct settings_error {
+    std::string message;
+    friend auto operator<=>(const settings_error&, const settings_error&) = default;
+};
+
+enum class setting_kind { text, integer, address, identifier, list };
+
+/// One key that a module accepts. `minimum` and `maximum` bound integers and text lengths.
+struct setting_descriptor {
+    std::string section;
+    std::string key;
+    setting_kind kind = setting_kind::text;
+    std::int64_t minimum = 0;
+    std::int64_t maximum = 0;
+    /// Absent: the key is required.
+    std::optional<std::string> default_value;
+    std::string description;
+    friend auto operator<=>(const setting_descriptor&, const setting_descriptor&) = default;
+};
+
+/// The checked settings of a process. Immutable; safe to read from any thread.
+class settings {
+public:
+    /// Parses INI text and checks each key against the descriptors.
+    /// Errors: settings_error for a syntax error, an unknown section or key, a missing required
+    /// key, or a value outside its range.
+    static result<settings> parse(std::string_view file, std::string_view text,
+                                  const std::vector<setting_descriptor>& known);
+
+    /// Precondition for all getters: the key has a descriptor.
+    [[nodiscard]] const std::string& text(std::string_view section, std::string_view key) const;
+    [[nodiscard]] std::int64_t integer(std::string_view section, std::string_view key) const;
+    /// The comma-separated parts of a value, trimmed; empty for an empty value.
+    [[nodiscard]] std::vector<std::string> list(std::string_view section,
+                                                std::string_view key) const;
+
+    friend bool operator==(const settings&, const settings&) = default;
+
+private:
+    using values = std::map<std::pair<std::string, std::string>, std::string, std::less<>>;
+    explicit settings(values values) : values_(std::move(values)) {}
+
+    values values_;
+};
+
+/// The section, key and line of one INI entry.
+struct ini_entry {
+    std::string section;
+    std::string key;
+    std::string value;
+    int line = 0;
+    friend auto operator<=>(const ini_entry&, const ini_entry&) = default;
+};
+
+/// Splits INI text into its entries, in file order.
+/// Errors: settings_error that names the file and line of the first syntax error.
+result<std::vector<ini_entry>> parse_ini(std::string_view file, std::string_view text);
+
+}  // namespace poplarfront::kernel
--- /dev/null
+++ b/packages/runtime/http_client.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "kernel/concepts.h"
+#include "runtime/fiber_thread.h"
+#include "runtime/http_types.h"
+
+namespace poplarfront::runtime {
+
+/// HTTP calls over kept-alive connections, with at most a given number of connections per address.
+///
+/// Thread safety: `call` runs on fibers of the client's thread only.
+class http_client {
+public:
+    struct counters {
+        std::uint64_t connections_opened = 0;
+        std::uint64_t connections_lost = 0;
+        std::uint64_t calls = 0;
+        friend auto operator<=>(const counters&, const counters&) = default;
+    };
+
+    static std::shared_ptr<http_client> create(std::shared_ptr<fiber_thread> thread);
+
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// Sends a request to `address` (IP:PORT) and waits for its response until `deadline`. Waits
+    /// for a free connection while `max_connections` to the address are in use.
+    call_result call(const std::string& address, const http_request& request,
+                     kernel::time_point deadline, std::size_t max_connections);
+
+    /// Closes idle connections to addresses that had no call for `age`.
+    void close_idle(kernel::duration age);
+
+    [[nodiscard]] counters count() const;
+
+private:
+    class implementation;
+    explicit http_client(std::unique_ptr<implementation> implementation);
+
+    std::unique_ptr<implementation> implementation_;
+};
+
+}  // namespace poplarfront::runtime
--- /dev/null
+++ b/packages/runtime/http_types.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <compare>
+#include <string>
+
+namespace poplarfront::runtime {
+
+/// Largest accepted HTTP body in bytes, both ways; the store's values are at most 1 MB.
+inline constexpr std::size_t max_body_bytes = std::size_t{2} * 1024 * 1024;
+
+struct http_request {
+    /// GET, POST, PUT or DELETE.
+    std::string method;
+    /// Path and query string.
+    std::string target;
+    std::string body;
+    /// The If-Match header, empty if there is none.
+    std::string if_match;
+    friend auto operator<=>(const http_request&, const http_request&) = default;
+};
+
+struct http_response {
+    unsigned status = 200;
+    std::string body;
+    /// The ETag header, empty if there is none.
+    std::string etag;
+    std::string content_type = "application/json";
+    friend auto operator<=>(const http_response&, const http_response&) = default;
+};
+
+/// How a call ended as seen by the transport.
+enum class call_status {
+    /// A response arrived.
+    answered,
+    /// No byte of the request can have left: no connection or none free in time.
+    not_sent,
+    /// The connection ended after a part of the request may have left.
+    connection_lost,
+    /// The deadline passed after a part of the request may have left.
+    timed_out,
+};
+
+struct call_result {
+    call_status status = call_status::not_sent;
+    /// Only valid if the status is answered.
+    http_response response;
+    friend auto operator<=>(const call_result&, const call_result&) = default;
+};
+
+}  // namespace poplarfront::runtime
--- /dev/null
+++ b/packages/runtime/internal/endpoint.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <optional>
+#include <string>
+
+namespace poplarfront::runtime::internal {
+
+/// Parses IP:PORT.
+std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(const std::string& address);
+
+}  // namespace poplarfront::runtime::internal
--- /dev/null
+++ b/packages/runtime/internal/http_client.cpp
@@ -0,0 +1,221 @@
+#include "runtime/http_client.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <map>
+#include <mutex>
+#include <vector>
+
+#include "runtime/await.h"
+#include "runtime/internal/endpoint.h"
+
+namespace poplarfront::runtime {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+struct connection {
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+/// The connections to one address.
+struct address_pool {
+    boost::fibers::mutex mutex;
+    boost::fibers::condition_variable released;
+    std::vector<std::unique_ptr<connection>> idle;
+    std::size_t open = 0;
+    kernel::time_point last_used;
+};
+
+/// Whether the server has not closed the idle connection. A request on a connection that is
+/// already closed would look as if the server had lost it while executing.
+bool is_usable(connection& idle) {
+    char byte = 0;
+    const auto n = ::recv(idle.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+http::request<http::string_body> to_message(const std::string& address,
+                                            const http_request& request) {
+    http::request<http::string_body> message{http::string_to_verb(request.method), request.target,
+                                             11};
+    message.set(http::field::host, address);
+    message.set(http::field::content_type, "application/json");
+    if (!request.if_match.empty()) {
+        message.set(http::field::if_match, request.if_match);
+    }
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+}
+
+call_status failure_of(const beast::error_code& ec) {
+    return ec == beast::error::timeout ? call_status::timed_out : call_status::connection_lost;
+}
+
+}  // namespace
+
+class http_client::implementation {
+public:
+    explicit implementation(std::shared_ptr<fiber_thread> thread) : thread_(std::move(thread)) {}
+
+    call_result call(const std::string& address, const http_request& request,
+                     kernel::time_point deadline, std::size_t max_connections) {
+        ++counters_.calls;
+        auto& pool = pools_[address];
+        if (pool == nullptr) {
+            pool = std::make_shared<address_pool>();
+        }
+        const auto used = pool;
+        auto connected = acquire(*used, address, deadline, max_connections);
+        if (connected == nullptr) {
+            return {call_status::not_sent, {}};
+        }
+        auto [result, reusable] = exchange(*connected, address, request, deadline);
+        release(*used, std::move(connected), reusable);
+        return std::move(result);
+    }
+
+    void close_idle(kernel::duration age) {
+        const auto limit = std::chrono::steady_clock::now() - age;
+        for (auto& [address, pool] : pools_) {
+            std::unique_lock lock{pool->mutex};
+            if (pool->last_used < limit) {
+                pool->open -= pool->idle.size();
+                pool->idle.clear();
+            }
+        }
+    }
+
+    [[nodiscard]] counters count() const { return counters_; }
+
+private:
+    struct exchanged {
+        call_result result;
+        bool reusable = false;
+    };
+
+    /// A connection that is ready to use, or null if there is none before the deadline.
+    std::unique_ptr<connection> acquire(address_pool& pool, const std::string& address,
+                                        kernel::time_point deadline, std::size_t max_connections) {
+        {
+            std::unique_lock lock{pool.mutex};
+            pool.last_used = std::chrono::steady_clock::now();
+            const bool available = pool.released.wait_until(
+                lock, deadline, [&] { return !pool.idle.empty() || pool.open < max_connections; });
+            if (!available) {
+                return nullptr;
+            }
+            while (!pool.idle.empty()) {
+                auto idle = std::move(pool.idle.back());
+                pool.idle.pop_back();
+                if (is_usable(*idle)) {
+                    return idle;
+                }
+                --pool.open;
+            }
+            ++pool.open;
+        }
+        auto opened = open(address, deadline);
+        if (opened == nullptr) {
+            release(pool, nullptr, false);
+        }
+        return opened;
+    }
+
+    std::unique_ptr<connection> open(const std::string& address, kernel::time_point deadline) {
+        const auto endpoint = internal::parse_endpoint(address);
+        if (!endpoint) {
+            return nullptr;
+        }
+        auto opened = std::make_unique<connection>(
+            connection{beast::tcp_stream{thread_->context()}, beast::flat_buffer{}});
+        opened->stream.expires_at(deadline);
+        const auto [ec] =
+            await([&](auto handler) { opened->stream.async_connect(*endpoint, handler); });
+        if (ec) {
+            return nullptr;
+        }
+        beast::error_code ignored;
+        opened->stream.socket().set_option(tcp::no_delay(true), ignored);
+        ++counters_.connections_opened;
+        return opened;
+    }
+
+    exchanged exchange(connection& used, const std::string& address, const http_request& request,
+                       kernel::time_point deadline) {
+        const auto message = to_message(address, request);
+        used.stream.expires_at(deadline);
+        const auto [write_ec, written] = await<std::size_t>(
+            [&](auto handler) { http::async_write(used.stream, message, handler); });
+        if (write_ec) {
+            ++counters_.connections_lost;
+            return {{failure_of(write_ec), {}}, false};
+        }
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(max_body_bytes);
+        const auto [read_ec, n] = await<std::size_t>(
+            [&](auto handler) { http::async_read(used.stream, used.buffer, parser, handler); });
+        if (read_ec) {
+            ++counters_.connections_lost;
+            return {{failure_of(read_ec), {}}, false};
+        }
+        const bool keep_alive = parser.get().keep_alive();
+        auto response = parser.release();
+        used.stream.expires_never();
+        return {{call_status::answered,
+                 {response.result_int(), std::move(response.body()),
+                  std::string{response[http::field::etag]}, "application/json"}},
+                keep_alive};
+    }
+
+    static void release(address_pool& pool, std::unique_ptr<connection> used, bool reusable) {
+        {
+            std::unique_lock lock{pool.mutex};
+            if (reusable) {
+                pool.idle.push_back(std::move(used));
+            } else {
+                --pool.open;
+            }
+        }
+        pool.released.notify_one();
+    }
+
+    std::shared_ptr<fiber_thread> thread_;
+    std::map<std::string, std::shared_ptr<address_pool>> pools_;
+    counters counters_;
+};
+
+std::shared_ptr<http_client> http_client::create(std::shared_ptr<fiber_thread> thread) {
+    return std::shared_ptr<http_client>(
+        new http_client(std::make_unique<implementation>(std::move(thread))));
+}
+
+http_client::http_client(std::unique_ptr<implementation> implementation)
+    : implementation_(std::move(implementation)) {}
+
+http_client::~http_client() = default;
+
+call_result http_client::call(const std::string& address, const http_request& request,
+                              kernel::time_point deadline, std::size_t max_connections) {
+    return implementation_->call(address, request, deadline, max_connections);
+}
+
+void http_client::close_idle(kernel::duration age) {
+    implementation_->close_idle(age);
+}
+
+http_client::counters http_client::count() const {
+    return implementation_->count();
+}
+
+}  // namespace poplarfront::runtime
--- /dev/null
+++ b/packages/runtime/tests/http_test.cpp
@@ -0,0 +1,114 @@
+#include <sys/resource.h>
+
+#include <boost/fiber/operations.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "runtime/http_client.h"
+#include "runtime/http_server.h"
+
+namespace poplarfront::runtime {
+namespace {
+
+using std::chrono::milliseconds;
+
+kernel::time_point in(milliseconds wait) {
+    return std::chrono::steady_clock::now() + wait;
+}
+
+std::unique_ptr<http_server> start_server(const std::shared_ptr<fiber_thread>& thread,
+                                          http_handler handler) {
+    http_server_options options;
+    options.address = "127.0.0.1:0";
+    auto server = http_server::create(thread, options, std::move(handler));
+    REQUIRE(server);
+    return std::move(server.value());
+}
+
+double thread_cpu_ms() {
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto ms = [](const timeval& t) {
+        return static_cast<double>(t.tv_sec) * 1000.0 + static_cast<double>(t.tv_usec) / 1000.0;
+    };
+    return ms(usage.ru_utime) + ms(usage.ru_stime);
+}
+
+TEST_CASE("a call is answered over one kept-alive connection") {
+    const auto thread = fiber_thread::create("test");
+    const auto server = start_server(thread, [](const http_request& request) {
+        return http_response{200, request.body, "7"};
+    });
+    const auto client = http_client::create(thread);
+    const auto address = "127.0.0.1:" + std::to_string(server->port());
+    thread->run([&] {
+        for (int i = 0; i < 3; ++i) {
+            const auto result =
+                client->call(address, {"POST", "/x", "hello"}, in(milliseconds{1000}), 1);
+            CHECK(result.status == call_status::answered);
+            CHECK(result.response.body == "hello");
+            CHECK(result.response.etag == "7");
+        }
+        CHECK(client->count().connections_opened == 1);
+    });
+    server->stop(milliseconds{100});
+    thread->stop();
+}
+
+TEST_CASE("an unreachable server is reported as not sent, a slow one as timed out") {
+    const auto thread = fiber_thread::create("test");
+    const auto server = start_server(thread, [](const http_request&) {
+        boost::this_fiber::sleep_for(milliseconds{300});
+        return http_response{};
+    });
+    const auto client = http_client::create(thread);
+    const auto address = "127.0.0.1:" + std::to_string(server->port());
+    thread->run([&] {
+        CHECK(client->call("127.0.0.1:1", {"GET", "/"}, in(milliseconds{200}), 1).status ==
+              call_status::not_sent);
+        CHECK(client->call(address, {"GET", "/"}, in(milliseconds{50}), 1).status ==
+              call_status::timed_out);
+    });
+    server->stop(milliseconds{500});
+    thread->stop();
+}
+
+TEST_CASE("stopping a server does not interrupt a request in flight") {
+    const auto server_thread = fiber_thread::create("server");
+    const auto client_thread = fiber_thread::create("client");
+    const auto server = start_server(server_thread, [](const http_request&) {
+        boost::this_fiber::sleep_for(milliseconds{150});
+        return http_response{200, "done"};
+    });
+    const auto client = http_client::create(client_thread);
+    const auto address = "127.0.0.1:" + std::to_string(server->port());
+    std::thread stopper{[&] {
+        std::this_thread::sleep_for(milliseconds{50});
+        server->stop(milliseconds{1000});
+    }};
+    client_thread->run([&] {
+        const auto result = client->call(address, {"GET", "/"}, in(milliseconds{1000}), 1);
+        CHECK(result.response.body == "done");
+    });
+    stopper.join();
+    client_thread->stop();
+    server_thread->stop();
+}
+
+TEST_CASE("waiting threads do not spin") {
+    const auto thread = fiber_thread::create("test");
+    const auto server = start_server(thread, [](const http_request&) { return http_response{}; });
+    const auto before = thread_cpu_ms();
+    thread->run([] {
+        for (int i = 0; i < 10; ++i) {
+            boost::this_fiber::sleep_for(milliseconds{100});
+        }
+    });
+    constexpr double max_idle_ms_per_second = 10.0;
+    CHECK(thread_cpu_ms() - before < max_idle_ms_per_second);
+    server->stop(milliseconds{100});
+    thread->stop();
+}
+
+}  // namespace
+}  // namespace poplarfront::runtime
--- /dev/null
+++ b/packages/wire/caller_json.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "model/action.h"
+#include "model/search.h"
+#include "model/shard_map.h"
+#include "wire/wire_error.h"
+
+namespace poplarfront::wire {
+
+/// The shortest and the longest `deadline_ms` that callers may state.
+inline constexpr std::int64_t min_deadline_ms = 1;
+inline constexpr std::int64_t max_deadline_ms = 60'000;
+
+/// Decodes the body of `POST /v1/search`:
+/// `{"searcher", "services": [..] or "group", "query", "deadline_ms", "request"?}`.
+/// `generated` is the request id if the caller gives none; `now` is when the request arrived.
+/// Errors: wire_error with the field, also for a service or group that `map` does not have.
+/// Thread-safe.
+kernel::result<model::search_request> decode_search(std::string_view body,
+                                                    const model::shard_map& map,
+                                                    const model::request_id& generated,
+                                                    kernel::time_point now);
+
+/// Encodes an answer as JSON. Thread-safe.
+std::string encode_answer(const model::search_answer& answer);
+
+/// Decodes the body of `POST /v1/actions`:
+/// `{"searcher", "service", "shard", "request_key", "body", "deadline_ms", "request"?}`.
+/// Errors and thread safety as for decode_search.
+kernel::result<model::action_request> decode_action(std::string_view body,
+                                                    const model::shard_map& map,
+                                                    const model::request_id& generated,
+                                                    kernel::time_point now);
+
+/// Encodes the outcome of an action as JSON. Thread-safe.
+std::string encode_outcome(const model::action_request& request,
+                           const model::action_outcome& outcome);
+
+/// `{"error": {"type", "field", "message", "not_run": true}}`. Thread-safe.
+std::string encode_refusal(std::string_view type, std::string_view field, std::string_view message);
+
+}  // namespace poplarfront::wire
