--- /dev/null
+++ b/packages/kernel/state_registry.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace poplarfront::kernel {
+
+/// The parts of a process's state dump. Modules add theirs when they are created.
+///
+/// Thread safety: `add` is called on the main thread before modules start; afterwards `dump` may be
+/// called from any one thread. Each source must be safe to call from there.
+class state_registry {
+public:
+    /// Returns the state as a JSON value.
+    using source = std::function<std::string()>;
+
+    /// Precondition: no other source has this name.
+    void add(std::string name, source source) {
+        sources_.emplace(std::move(name), std::move(source));
+    }
+
+    /// All sources as one JSON object, by name.
+    [[nodiscard]] std::string dump() const {
+        std::string text = "{";
+        for (const auto& [name, source] : sources_) {
+            text += (text.size() > 1 ? ",\"" : "\"") + name + "\":" + source();
+        }
+        return text + "}";
+    }
+
+private:
+    std::map<std::string, source> sources_;
+};
+
+}  // namespace poplarfront::kernel
--- /dev/null
+++ b/packages/routing/transport.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <concepts>
+
+#include "model/backend.h"
+#include "model/identifier.h"
+#include "routing/sub_query.h"
+
+namespace poplarfront::routing {
+
+/// Sends attempts to backend servers. Calls return at once; replies are passed to the shard_call.
+template <class T>
+concept shard_transport = requires(T& transport, const model::shard_attempt& attempt) {
+    { transport.send(attempt) } -> std::same_as<void>;
+    { transport.cancel(attempt) } -> std::same_as<void>;
+};
+
+/// Sends batches to owners. Calls return at once; results are passed to the query_session.
+template <class T>
+concept owner_transport = requires(T& transport, const model::instance_id& owner,
+                                   const sub_query_batch& batch) {
+    { transport.send(owner, batch) } -> std::same_as<void>;
+    { transport.cancel(owner, batch) } -> std::same_as<void>;
+};
+
+}  // namespace poplarfront::routing
