Add the peer endpoint and the codecs of messages between instances

An envelope names kind, sender and deployment and carries an opaque payload, so that each package encodes its own messages. Envelopes of another deployment or of a newer protocol version are refused.

--- /dev/null
+++ b/packages/runtime/peer_endpoint.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "kernel/result.h"
+#include "runtime/fiber_thread.h"
+#include "runtime/http_server.h"
+
+namespace poplarfront::runtime {
+
+/// Sends and receives messages between instances: one ZeroMQ ROUTER that receives, and one DEALER
+/// for each instance that messages are sent to. Messages may be lost or arrive late.
+///
+/// Thread safety: `send` and `count` may be called from any thread; the receiver runs on the
+/// endpoint's thread and must not suspend.
+class peer_endpoint {
+public:
+    using receiver = std::function<void(std::string bytes)>;
+
+    struct counters {
+        std::uint64_t sent = 0;
+        std::uint64_t sent_bytes = 0;
+        std::uint64_t received = 0;
+        std::uint64_t received_bytes = 0;
+        /// Messages that were not queued because a peer's queue was full.
+        std::uint64_t dropped = 0;
+        friend auto operator<=>(const counters&, const counters&) = default;
+    };
+
+    /// Binds to `address` (IP:PORT).
+    /// Errors: listen_error.
+    static kernel::result<std::shared_ptr<peer_endpoint>> create(
+        std::shared_ptr<fiber_thread> thread, const std::string& address, receiver receiver);
+
+    ~peer_endpoint();
+    peer_endpoint(const peer_endpoint&) = delete;
+    peer_endpoint& operator=(const peer_endpoint&) = delete;
+
+    /// Queues a message to the instance at `address`. Returns at once; there is no confirmation.
+    void send(const std::string& address, std::string bytes);
+
+    [[nodiscard]] counters count() const;
+
+    /// Closes the sockets. Queued messages are sent for up to 200 ms, so that a notice of leaving
+    /// gets out.
+    void stop();
+
+private:
+    class implementation;
+    explicit peer_endpoint(std::shared_ptr<implementation> implementation);
+
+    std::shared_ptr<implementation> implementation_;
+};
+
+}  // namespace poplarfront::runtime
--- /dev/null
+++ b/packages/runtime/tests/peer_endpoint_test.cpp
@@ -0,0 +1,36 @@
+#include "runtime/peer_endpoint.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "runtime/mailbox.h"
+
+namespace poplarfront::runtime {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("messages reach a peer that starts later and a stopped endpoint ends its thread") {
+    const auto thread = fiber_thread::create("test");
+    const auto ignore = [](const std::string&) {};
+    auto sender = peer_endpoint::create(thread, "127.0.0.1:29411", ignore);
+    REQUIRE(sender);
+    sender.value()->send("127.0.0.1:29412", "first");
+
+    mailbox<std::string> received;
+    auto receiver = peer_endpoint::create(thread, "127.0.0.1:29412",
+                                          [&](std::string bytes) { received.push(bytes); });
+    REQUIRE(receiver);
+    sender.value()->send("127.0.0.1:29412", "second");
+    thread->run([&] {
+        const auto limit = std::chrono::steady_clock::now() + milliseconds{3000};
+        CHECK(received.pop_until(limit) == "first");
+        CHECK(received.pop_until(limit) == "second");
+    });
+    sender.value()->stop();
+    receiver.value()->stop();
+    thread->stop();
+}
+
+}  // namespace
+}  // namespace poplarfront::runtime
--- /dev/null
+++ b/packages/wire/envelope.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "kernel/result.h"
+#include "model/identifier.h"
+#include "wire/wire_error.h"
+
+namespace poplarfront::wire {
+
+/// Raised when messages between instances change so that older instances would misread them.
+inline constexpr std::uint32_t protocol_version = 1;
+
+/// What the payload of an envelope is; the values are those of MessageKind in peer.proto.
+enum class message_kind : std::uint32_t {
+    sub_query_batch = 1,
+    sub_query_result = 2,
+    sub_query_cancel = 3,
+    action_forward = 4,
+    action_result = 5,
+    membership = 6,
+    configuration = 7,
+};
+
+/// A message between instances.
+struct envelope {
+    model::deployment_id deployment;
+    model::instance_id sender;
+    model::incarnation sender_incarnation;
+    message_kind kind = message_kind::membership;
+    std::string payload;
+    friend auto operator<=>(const envelope&, const envelope&) = default;
+};
+
+/// Encodes an envelope with the current protocol version. Thread-safe.
+std::string encode_envelope(const envelope& message);
+
+/// Decodes an envelope.
+/// Errors: wire_error with field "protocol_version" for a newer protocol, "deployment" for a
+/// message of another deployment, "kind" or "sender" for invalid values, and no field for bytes
+/// that are truncated or no envelope. Thread-safe.
+kernel::result<envelope> decode_envelope(std::string_view bytes,
+                                         const model::deployment_id& own_deployment);
+
+}  // namespace poplarfront::wire
--- /dev/null
+++ b/packages/wire/internal/envelope.cpp
@@ -0,0 +1,46 @@
+#include "wire/envelope.h"
+
+#include "wire/generated/peer.pb.h"
+
+namespace poplarfront::wire {
+
+std::string encode_envelope(const envelope& message) {
+    proto::Envelope out;
+    out.set_protocol_version(protocol_version);
+    out.set_deployment(message.deployment.text());
+    out.set_sender(message.sender.text());
+    out.set_sender_incarnation(message.sender_incarnation.value);
+    out.set_kind(static_cast<std::uint32_t>(message.kind));
+    out.set_payload(message.payload);
+    return out.SerializeAsString();
+}
+
+kernel::result<envelope> decode_envelope(std::string_view bytes,
+                                         const model::deployment_id& own_deployment) {
+    proto::Envelope in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return boost::leaf::new_error(wire_error{"", "is not an envelope"});
+    }
+    if (in.protocol_version() == 0 || in.protocol_version() > protocol_version) {
+        return boost::leaf::new_error(
+            wire_error{"protocol_version",
+                       "version " + std::to_string(in.protocol_version()) + " is not supported"});
+    }
+    if (in.deployment() != own_deployment.text()) {
+        return boost::leaf::new_error(wire_error{"deployment", "message of another deployment"});
+    }
+    if (!model::is_identifier(in.sender())) {
+        return boost::leaf::new_error(wire_error{"sender", "is not a valid name"});
+    }
+    if (in.kind() < static_cast<std::uint32_t>(message_kind::sub_query_batch) ||
+        in.kind() > static_cast<std::uint32_t>(message_kind::configuration)) {
+        return boost::leaf::new_error(wire_error{"kind", "is not known"});
+    }
+    return envelope{own_deployment,
+                    model::instance_id::trusted(in.sender()),
+                    {in.sender_incarnation()},
+                    static_cast<message_kind>(in.kind()),
+                    std::move(*in.mutable_payload())};
+}
+
+}  // namespace poplarfront::wire
--- /dev/null
+++ b/packages/wire/tests/peer_test.cpp
@@ -0,0 +1,69 @@
+#include <catch2/catch.hpp>
+
+#include "wire/envelope.h"
+#include "wire/generated/peer.pb.h"
+#include "wire/traffic_codec.h"
+
+namespace poplarfront::wire {
+namespace {
+
+const auto deployment = model::deployment_id::trusted("richelieu");
+const envelope sample{
+    deployment, model::instance_id::trusted("i1"), {3}, message_kind::sub_query_cancel, "payload"};
+
+std::string refused_field(std::string_view bytes, const model::deployment_id& own) {
+    return kernel::handle<wire_error>(
+        [&]() -> kernel::result<std::string> {
+            BOOST_LEAF_CHECK(decode_envelope(bytes, own));
+            return std::string{"accepted"};
+        },
+        [](const wire_error& error) { return error.field; });
+}
+
+TEST_CASE("messages of another deployment or of a newer protocol are refused") {
+    const auto bytes = encode_envelope(sample);
+    CHECK(refused_field(bytes, deployment) == "accepted");
+    CHECK(refused_field(bytes, model::deployment_id::trusted("bengal")) == "deployment");
+    proto::Envelope newer;
+    newer.ParseFromString(bytes);
+    newer.set_protocol_version(protocol_version + 1);
+    CHECK(refused_field(newer.SerializeAsString(), deployment) == "protocol_version");
+    newer.set_protocol_version(protocol_version);
+    newer.set_kind(99);
+    CHECK(refused_field(newer.SerializeAsString(), deployment) == "kind");
+}
+
+TEST_CASE("truncated messages are refused at every length or differ from the original") {
+    const auto bytes = encode_envelope(sample);
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        const auto decoded = decode_envelope(bytes.substr(0, n), deployment);
+        CHECK((!decoded || decoded.value() != sample));
+    }
+}
+
+TEST_CASE("batches and results survive encoding") {
+    const kernel::time_point now{std::chrono::seconds{9}};
+    const model::shard_ref shard{model::service_id::trusted("lots"), model::shard_id::trusted("0")};
+    const routing::sub_query_batch batch{model::request_id::trusted("r"),
+                                         2,
+                                         model::searcher_id::trusted("m"),
+                                         {{3}, {4}},
+                                         "q",
+                                         now + std::chrono::milliseconds{80},
+                                         {shard}};
+    const auto decoded = decode_batch(encode_batch(batch, now), now);
+    REQUIRE(decoded);
+    CHECK(decoded.value() == batch);
+
+    const routing::sub_query_result result{
+        batch.request,
+        2,
+        batch.searcher,
+        {{shard, model::missing_reason::none, {4}, {{"k", "b"}}, model::version_range{{3}, {4}}}}};
+    const auto back = decode_batch_result(encode_batch_result(result));
+    REQUIRE(back);
+    CHECK(back.value() == result);
+}
+
+}  // namespace
+}  // namespace poplarfront::wire
--- /dev/null
+++ b/packages/wire/traffic_codec.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "kernel/result.h"
+#include "model/action.h"
+#include "routing/sub_query.h"
+#include "wire/wire_error.h"
+
+namespace poplarfront::wire {
+
+/// Payloads of messages that carry requests between instances. Deadlines travel as remaining
+/// milliseconds; `now` converts them. All functions are thread-safe; the errors of decoding are
+/// wire_error.
+
+std::string encode_batch(const routing::sub_query_batch& batch, kernel::time_point now);
+kernel::result<routing::sub_query_batch> decode_batch(std::string_view bytes,
+                                                      kernel::time_point now);
+
+std::string encode_batch_result(const routing::sub_query_result& result);
+kernel::result<routing::sub_query_result> decode_batch_result(std::string_view bytes);
+
+/// Names a batch that its session no longer needs.
+struct batch_cancel {
+    model::request_id request;
+    std::uint32_t batch = 0;
+    friend auto operator<=>(const batch_cancel&, const batch_cancel&) = default;
+};
+std::string encode_batch_cancel(const batch_cancel& cancel);
+kernel::result<batch_cancel> decode_batch_cancel(std::string_view bytes);
+
+std::string encode_action_forward(const model::action_request& action, kernel::time_point now);
+kernel::result<model::action_request> decode_action_forward(std::string_view bytes,
+                                                            kernel::time_point now);
+
+/// The outcome of a forwarded action, addressed to the request that forwarded it.
+struct action_result {
+    model::request_id request;
+    model::searcher_id searcher;
+    model::action_outcome outcome;
+    friend auto operator<=>(const action_result&, const action_result&) = default;
+};
+std::string encode_action_result(const action_result& result);
+kernel::result<action_result> decode_action_result(std::string_view bytes);
+
+}  // namespace poplarfront::wire
