--- a/packages/kernel/internal/lifecycle.cpp
+++ b/packages/kernel/internal/lifecycle.cpp
@@ -60,6 +60,9 @@
 }
 
 void lifecycle::stop() {
+    for (const auto& module : running_) {
+        module.begin_stop();
+    }
     while (!running_.empty()) {
         spdlog::debug("stopping module {}", running_.back().name);
         running_.back().stop();
--- a/packages/kernel/module_context.h
+++ b/packages/kernel/module_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <type_traits>
 #include <typeindex>
 #include <unordered_map>
 #include <utility>
@@ -21,7 +22,8 @@
 
     template <class Service>
     void provide(std::shared_ptr<Service> service) {
-        services_[typeid(Service)] = std::move(service);
+        services_[typeid(Service)] =
+            std::const_pointer_cast<std::remove_const_t<Service>>(std::move(service));
     }
 
     /// Precondition: a module that this one depends on provides the service.
--- a/packages/kernel/module_registration.h
+++ b/packages/kernel/module_registration.h
@@ -32,6 +32,8 @@
 struct running_module {
     std::string name;
     std::function<result<void>()> start;
+    /// Called for all modules before the first is stopped.
+    std::function<void()> begin_stop;
     std::function<void()> stop;
 };
 
@@ -42,7 +44,8 @@
 };
 
 /// A plug-in: `create` builds its objects and provides services, `start` begins work, `stop` ends
-/// it and returns when nothing of the module runs any more.
+/// it and returns when nothing of the module runs any more. A module may also have `begin_stop`,
+/// which is called for all modules before the first is stopped.
 template <class T>
 concept module_type = requires(T& module, module_context& context) {
     { T::descriptor() } -> std::same_as<module_descriptor>;
@@ -65,6 +68,12 @@
                                      }}) {}
 
 private:
+    static void announce_stop(Module& module) {
+        if constexpr (requires { module.begin_stop(); }) {
+            module.begin_stop();
+        }
+    }
+
     extension_point<module_entry>::registration registration_;
 };
 
--- /dev/null
+++ b/packages/runtime/route_table.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "runtime/http_server.h"
+#include "runtime/http_types.h"
+
+namespace poplarfront::runtime {
+
+/// The handlers of one HTTP listener by method and path. `Listener` tells listeners apart.
+///
+/// Thread safety: `add` is called while modules are created; afterwards `dispatch` may be called
+/// from any thread.
+template <class Listener>
+class route_table {
+public:
+    /// Precondition: no other handler has this method and path.
+    void add(std::string method, std::string path, http_handler handler) {
+        handlers_.emplace(std::pair{std::move(path), std::move(method)}, std::move(handler));
+    }
+
+    /// Runs the handler of the request; without one the response has status 404 or 405.
+    [[nodiscard]] http_response dispatch(const http_request& request) const {
+        const std::string path = request.target.substr(0, request.target.find('?'));
+        const auto it = handlers_.find(std::pair{path, request.method});
+        if (it != handlers_.end()) {
+            return it->second(request);
+        }
+        const auto other = handlers_.lower_bound(std::pair{path, std::string{}});
+        const bool path_exists = other != handlers_.end() && other->first.first == path;
+        constexpr unsigned not_found = 404;
+        constexpr unsigned method_not_allowed = 405;
+        return {path_exists ? method_not_allowed : not_found,
+                std::string{R"({"error":{"type":")"} +
+                    (path_exists ? "method_not_allowed" : "not_found") +
+                    R"(","field":"","message":"no such route","not_run":true}})"};
+    }
+
+private:
+    std::map<std::pair<std::string, std::string>, http_handler> handlers_;
+};
+
+struct caller_listener;
+struct operator_listener;
+using caller_routes = route_table<caller_listener>;
+using operator_routes = route_table<operator_listener>;
+
+}  // namespace poplarfront::runtime
