--- a/packages/configuration/internal/shards_section.cpp
+++ b/packages/configuration/internal/shards_section.cpp
@@ -2,10 +2,9 @@
 
 #include <spdlog/fmt/fmt.h>
 
-#include <charconv>
 #include <map>
 
-#include "kernel/settings.h"
+#include "configuration/internal/section_entries.h"
 
 namespace poplarfront::configuration {
 namespace {
@@ -16,19 +15,24 @@
 constexpr std::string_view shard_prefix = "shard.";
 
 auto refuse(const kernel::ini_entry& entry, std::string reason) {
-    return boost::leaf::new_error(
-        section_error{std::string{section_name}, entry.line, entry.key, std::move(reason)});
+    return internal::refuse(section_name, entry, std::move(reason));
 }
 
 kernel::result<std::uint32_t> positive(const kernel::ini_entry& entry) {
     constexpr std::uint32_t maximum = 100'000;
-    std::uint32_t n = 0;
-    const auto* const last = entry.value.data() + entry.value.size();
-    const auto parsed = std::from_chars(entry.value.data(), last, n);
-    if (parsed.ec != std::errc{} || parsed.ptr != last || n == 0 || n > maximum) {
-        return refuse(entry, fmt::format("must be an integer from 1 to {}", maximum));
-    }
-    return n;
+    return internal::parse_integer(section_name, entry, 1, maximum);
+}
+
+/// Reports what the model refuses as an error of this section.
+kernel::result<model::shard_map> create_map(model::revision revision,
+                                            std::vector<model::service_info> services,
+                                            std::vector<model::server_info> servers) {
+    return boost::leaf::try_handle_some(
+        [&] { return model::shard_map::create(revision, std::move(services), std::move(servers)); },
+        [](const model::model_error& error) -> kernel::result<model::shard_map> {
+            return boost::leaf::new_error(
+                section_error{std::string{section_name}, 0, "", error.message});
+        });
 }
 
 kernel::result<std::vector<model::server_id>> replicas(const kernel::ini_entry& entry) {
@@ -85,7 +89,7 @@
 }  // namespace
 
 kernel::result<model::shard_map> parse_shards(std::string_view text, model::revision revision) {
-    BOOST_LEAF_AUTO(entries, kernel::parse_ini(section_name, text));
+    BOOST_LEAF_AUTO(entries, internal::parse_entries(section_name, text));
     std::map<std::string, model::server_info> servers;
     std::map<std::string, model::service_info> services;
     for (const auto& entry : entries) {
@@ -120,7 +124,7 @@
     for (auto& [name, service] : services) {
         service_list.push_back(std::move(service));
     }
-    return model::shard_map::create(revision, std::move(service_list), std::move(server_list));
+    return create_map(revision, std::move(service_list), std::move(server_list));
 }
 
 }  // namespace poplarfront::configuration
--- /dev/null
+++ b/packages/configuration/leaving_section.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <set>
+#include <string_view>
+
+#include "configuration/section_error.h"
+#include "kernel/result.h"
+#include "model/identifier.h"
+
+namespace poplarfront::configuration {
+
+/// The `leaving` section: what gets no new work.
+struct leaving {
+    std::set<model::instance_id> instances;
+    std::set<model::server_id> servers;
+    friend auto operator<=>(const leaving&, const leaving&) = default;
+};
+
+/// Parses the `leaving` section. Names that exist nowhere else are allowed, because a machine may
+/// be removed from other sections before it is removed from this one.
+///
+///     [instances]
+///     NAME = leaving
+///
+///     [backend servers]
+///     NAME = leaving
+///
+/// Errors: section_error with line, key and reason.
+kernel::result<leaving> parse_leaving(std::string_view text);
+
+}  // namespace poplarfront::configuration
--- /dev/null
+++ b/packages/configuration/policy_section.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "configuration/section_error.h"
+#include "kernel/result.h"
+#include "model/shard_map.h"
+
+namespace poplarfront::configuration {
+
+/// Who sends to backend servers: every instance itself, or the owners of a shard group.
+enum class owner_mode { direct, owned };
+
+/// Limits of the extra load on backend servers. Hedges and retries share one budget.
+struct retry_policy {
+    /// Percent of primaries that hedges and retries may add.
+    std::uint32_t steady_percent = 5;
+    /// The same while failures are observed; at least steady_percent.
+    std::uint32_t fault_percent = 10;
+    /// Bounds of the hedge delay, which follows the observed p95.
+    std::uint32_t minimum_delay_ms = 1;
+    std::uint32_t maximum_delay_ms = 50;
+    friend auto operator<=>(const retry_policy&, const retry_policy&) = default;
+};
+
+/// Limits of the work that one instance accepts.
+struct admission_policy {
+    std::uint32_t max_in_flight = 1'000;
+    std::uint32_t max_queued = 1'000;
+    std::uint32_t max_queue_wait_ms = 20;
+    friend auto operator<=>(const admission_policy&, const admission_policy&) = default;
+};
+
+struct ownership_policy {
+    owner_mode mode = owner_mode::direct;
+    /// Shards of a shard group, before groups that share a backend server are joined.
+    std::uint32_t group_size = 14;
+    std::uint32_t owners_per_group = 2;
+    friend auto operator<=>(const ownership_policy&, const ownership_policy&) = default;
+};
+
+/// When a query that is not known to be good is first tried on one shard.
+struct canary_policy {
+    /// Shards of a query from which on a canary is sent; 0 sends none.
+    std::uint32_t width = 8;
+    std::uint32_t wait_ms = 5;
+    friend auto operator<=>(const canary_policy&, const canary_policy&) = default;
+};
+
+/// The `policy` section.
+struct policy {
+    retry_policy retry;
+    admission_policy admission;
+    ownership_policy ownership;
+    canary_policy canary;
+    friend auto operator<=>(const policy&, const policy&) = default;
+};
+
+/// Parses the `policy` section; each key has a range and a default.
+///
+///     [retry]      steady_percent, fault_percent, minimum_delay_ms, maximum_delay_ms
+///     [admission]  max_in_flight, max_queued, max_queue_wait_ms
+///     [ownership]  mode (direct or owned), group_size, owners_per_group
+///     [canary]     width, wait_ms
+///
+/// Errors: section_error with line, key and reason.
+kernel::result<policy> parse_policy(std::string_view text);
+
+/// Errors: section_error if a backend server of `shards` has fewer slots than a shard group has
+/// owners in owned mode.
+kernel::result<void> check_policy(const policy& policy, const model::shard_map& shards);
+
+}  // namespace poplarfront::configuration
--- a/packages/configuration/shards_section.h
+++ b/packages/configuration/shards_section.h
@@ -1,22 +1,13 @@
 #pragma once
 
-#include <string>
 #include <string_view>
 
+#include "configuration/section_error.h"
 #include "kernel/result.h"
 #include "model/shard_map.h"
 
 namespace poplarfront::configuration {
 
-/// Why a section is refused. `line` is 0 if no line is to blame.
-struct section_error {
-    std::string section;
-    int line = 0;
-    std::string key;
-    std::string reason;
-    friend auto operator<=>(const section_error&, const section_error&) = default;
-};
-
 /// Parses the `shards` section:
 ///
 ///     [server NAME]
