--- /dev/null
+++ b/packages/configuration/internal/delta.cpp
@@ -0,0 +1,51 @@
+#include "configuration/delta.h"
+
+namespace poplarfront::configuration {
+
+std::size_t delta::bytes() const {
+    constexpr std::size_t framing_bytes = 12;
+    std::size_t total = 0;
+    for (const auto& [place, value] : changes) {
+        total += place.header.size() + place.key.size() + framing_bytes;
+        total += value ? value->size() : 0;
+    }
+    return total;
+}
+
+delta difference(const section_document& from, const section_document& to) {
+    delta result;
+    for (const auto& [place, value] : to.entries()) {
+        const auto it = from.entries().find(place);
+        if (it == from.entries().end() || it->second != value) {
+            result.changes.emplace(place, value);
+        }
+    }
+    for (const auto& [place, value] : from.entries()) {
+        if (!to.entries().contains(place)) {
+            result.changes.emplace(place, std::nullopt);
+        }
+    }
+    return result;
+}
+
+section_document apply(const section_document& document, const delta& change) {
+    auto entries = document.entries();
+    for (const auto& [place, value] : change.changes) {
+        if (value) {
+            entries.insert_or_assign(place, *value);
+        } else {
+            entries.erase(place);
+        }
+    }
+    return section_document{std::move(entries)};
+}
+
+delta compose(const delta& first, const delta& second) {
+    auto result = first;
+    for (const auto& [place, value] : second.changes) {
+        result.changes.insert_or_assign(place, value);
+    }
+    return result;
+}
+
+}  // namespace poplarfront::configuration
