Add the HTTP store client, the asynchronous store on fibers and the store stand-in

Cause: sections, claims and membership need the platform's store, and tests need one with faults.

Change: http_store_client maps a call that sent nothing or was refused to unavailable, and one without a usable reply to unknown. fiber_store runs its calls on fibers and delivers completions by call id. The stand-in has versions over all keys, long polls, leases, the delayed instance list and a fault interface. An HTTP handler may now close the connection without a response (status 0); the stand-in loses replies with it.

--- a/packages/runtime/http_types.h
+++ b/packages/runtime/http_types.h
@@ -19,6 +19,10 @@
     friend auto operator<=>(const http_request&, const http_request&) = default;
 };
 
+/// A server closes the connection instead of sending a response with this status; stand-ins model
+/// lost replies with it.
+inline constexpr unsigned close_without_response = 0;
+
 struct http_response {
     unsigned status = 200;
     std::string body;
--- a/packages/runtime/internal/http_server.cpp
+++ b/packages/runtime/internal/http_server.cpp
@@ -167,6 +167,10 @@
         served.busy = true;
         const bool keep_alive = parser.get().keep_alive();
         const auto response = handler_(from_message(parser.release()));
+        if (response.status == close_without_response) {
+            served.busy = false;
+            return false;
+        }
         const bool written = write(served, response, keep_alive && !stopping_);
         served.busy = false;
         return written && keep_alive;
--- /dev/null
+++ b/packages/store/http_store_client.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "runtime/http_client.h"
+#include "store/store_client.h"
+
+namespace poplarfront::store {
+
+/// Where the store is and how many connections to it are used.
+struct http_store_options {
+    /// IP:PORT.
+    std::string address;
+    /// Each open watch occupies one connection.
+    std::size_t max_connections = 16;
+    friend auto operator<=>(const http_store_options&, const http_store_options&) = default;
+};
+
+/// Calls made so far and how they ended.
+struct store_call_counts {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t conflicts = 0;
+    std::uint64_t unavailable = 0;
+    std::uint64_t unknown = 0;
+    friend auto operator<=>(const store_call_counts&, const store_call_counts&) = default;
+};
+
+/// The counts as a JSON object.
+[[nodiscard]] std::string to_json(const store_call_counts& counts);
+
+/// The platform's store over HTTP. A call that sent nothing, or that the store refused, is
+/// `unavailable`; one without a reply, or with a reply that does not say whether it took effect, is
+/// `unknown`.
+///
+/// Keys consist of identifier characters (model::is_identifier).
+/// Thread safety: calls run on fibers of the HTTP client's thread; `count` on any thread.
+class http_store_client {
+public:
+    static std::shared_ptr<http_store_client> create(std::shared_ptr<runtime::http_client> http,
+                                                     http_store_options options);
+
+    /// Reads a key; a key that does not exist is ok with version 0.
+    read_outcome read(const std::string& key, kernel::time_point deadline);
+
+    /// Writes `bytes` if the key has exactly `version` (0: does not exist). A value above
+    /// max_value_bytes is unavailable and not sent.
+    write_outcome compare_and_swap(const std::string& key, std::uint64_t version,
+                                   const std::string& bytes, kernel::time_point deadline);
+
+    /// Waits until the key has a version other than `version`. At the deadline it is ok with
+    /// `version` and no bytes.
+    read_outcome watch(const std::string& key, std::uint64_t version, kernel::time_point deadline);
+
+    [[nodiscard]] store_call_counts count() const;
+
+private:
+    http_store_client(std::shared_ptr<runtime::http_client> http, http_store_options options);
+
+    runtime::call_result call(const runtime::http_request& request, kernel::time_point deadline);
+    void count_status(store_status status);
+
+    std::shared_ptr<runtime::http_client> http_;
+    http_store_options options_;
+    std::atomic<std::uint64_t> reads_{0};
+    std::atomic<std::uint64_t> writes_{0};
+    std::atomic<std::uint64_t> watches_{0};
+    std::atomic<std::uint64_t> conflicts_{0};
+    std::atomic<std::uint64_t> unavailable_{0};
+    std::atomic<std::uint64_t> unknown_{0};
+};
+
+static_assert(store_client<http_store_client>);
+
+}  // namespace poplarfront::store
--- /dev/null
+++ b/packages/store/tests/http_store_client_test.cpp
@@ -0,0 +1,178 @@
+#include "store/http_store_client.h"
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/operations.hpp>
+#include <catch2/catch.hpp>
+
+#include "runtime/mailbox.h"
+#include "standins/store/store_standin.h"
+#include "store/fiber_store.h"
+
+namespace poplarfront::store {
+namespace {
+
+using std::chrono::milliseconds;
+
+kernel::time_point in(int ms) {
+    return std::chrono::steady_clock::now() + milliseconds{ms};
+}
+
+/// A stand-in and a client of it on one thread.
+class fixture {
+public:
+    fixture() {
+        standins::store_standin_options options;
+        options.instance_list_delay = milliseconds{150};
+        auto created = standins::store_standin::create(thread, options);
+        REQUIRE(created);
+        standin = std::move(created.value());
+        address = "127.0.0.1:" + std::to_string(standin->port());
+        client = http_store_client::create(http, {address, 16});
+    }
+    ~fixture() {
+        standin->stop();
+        thread->stop();
+    }
+    fixture(const fixture&) = delete;
+    fixture& operator=(const fixture&) = delete;
+
+    runtime::http_response post(const std::string& target, const std::string& body) const {
+        return http->call(address, {"POST", target, body, ""}, in(1000), 16).response;
+    }
+    void fault(const std::string& body) const { CHECK(post("/fault", body).status == 200); }
+
+    std::shared_ptr<runtime::fiber_thread> thread = runtime::fiber_thread::create("store");
+    std::shared_ptr<runtime::http_client> http = runtime::http_client::create(thread);
+    std::unique_ptr<standins::store_standin> standin;
+    std::string address;
+    std::shared_ptr<http_store_client> client;
+};
+
+TEST_CASE("a compare-and-swap with a stale version changes nothing and tells the newer version") {
+    fixture f;
+    f.thread->run([&] {
+        CHECK(f.client->read("a/b", in(1000)) == read_outcome{store_status::ok, {"", 0}});
+        const auto first = f.client->compare_and_swap("a/b", 0, "one", in(1000));
+        CHECK(first.status == store_status::ok);
+        CHECK(f.client->compare_and_swap("a/b", 0, "two", in(1000)) ==
+              write_outcome{store_status::conflict, first.version});
+        CHECK(f.client->read("a/b", in(1000)) ==
+              read_outcome{store_status::ok, {"one", first.version}});
+        const auto second = f.client->compare_and_swap("a/b", first.version, "two", in(1000));
+        CHECK(second.version > first.version);
+        CHECK(f.client->count() == store_call_counts{2, 3, 0, 1, 0, 0});
+    });
+}
+
+TEST_CASE("a write whose reply is lost is unknown although it took effect") {
+    fixture f;
+    f.thread->run([&] {
+        f.fault(R"({"lose_write_replies":1})");
+        CHECK(f.client->compare_and_swap("k", 0, "v", in(1000)).status == store_status::unknown);
+        CHECK(f.client->read("k", in(1000)).value.bytes == "v");
+        f.fault(R"({"cut_requests":1})");
+        CHECK(f.client->compare_and_swap("k", 9, "w", in(1000)).status == store_status::unknown);
+        CHECK(f.client->read("k", in(1000)).value.bytes == "v");
+        f.fault(R"({"delay_ms":200})");
+        CHECK(f.client->compare_and_swap("k", 9, "w", in(50)).status == store_status::unknown);
+    });
+}
+
+TEST_CASE("calls during an outage or to a closed port are unavailable") {
+    fixture f;
+    f.thread->run([&] {
+        f.fault(R"({"outage":true})");
+        CHECK(f.client->read("k", in(1000)).status == store_status::unavailable);
+        CHECK(f.client->compare_and_swap("k", 0, "v", in(1000)).status ==
+              store_status::unavailable);
+        f.fault(R"({"outage":false})");
+        CHECK(f.client->read("k", in(1000)).value.version == 0);
+        const auto closed = http_store_client::create(f.http, {"127.0.0.1:1", 1});
+        CHECK(closed->compare_and_swap("k", 0, "v", in(200)).status == store_status::unavailable);
+        const std::string large(max_value_bytes + 1, 'x');
+        CHECK(f.client->compare_and_swap("k", 0, large, in(1000)).status ==
+              store_status::unavailable);
+        const std::string largest(max_value_bytes, 'x');
+        CHECK(f.client->compare_and_swap("k", 0, largest, in(1000)).status == store_status::ok);
+    });
+}
+
+TEST_CASE("a watch returns on a change, at its deadline, and when an outage starts") {
+    fixture f;
+    f.thread->run([&] {
+        const auto version = f.client->compare_and_swap("k", 0, "v", in(1000)).version;
+        CHECK(f.client->watch("k", 0, in(1000)).value.bytes == "v");
+        CHECK(f.client->watch("k", version, in(50)) ==
+              read_outcome{store_status::ok, {"", version}});
+        boost::fibers::fiber writer{[&] {
+            boost::this_fiber::sleep_for(milliseconds{30});
+            f.client->compare_and_swap("k", version, "w", in(1000));
+        }};
+        CHECK(f.client->watch("k", version, in(5000)).value.bytes == "w");
+        writer.join();
+        boost::fibers::fiber fault{[&] {
+            boost::this_fiber::sleep_for(milliseconds{30});
+            f.fault(R"({"outage_ms":100})");
+        }};
+        CHECK(f.client->watch("k", version + 1, in(5000)).status == store_status::unavailable);
+        fault.join();
+    });
+}
+
+TEST_CASE("keys bound to a lease disappear when it is not renewed") {
+    fixture f;
+    f.thread->run([&] {
+        CHECK(f.post("/lease", R"({"ttl_ms":100})").body == R"({"lease":1})");
+        const auto put = f.http->call(f.address, {"PUT", "/kv/l?lease=1", "v", "0"}, in(1000), 16);
+        CHECK(put.response.status == 200);
+        boost::this_fiber::sleep_for(milliseconds{60});
+        CHECK(f.post("/lease/1", "").status == 200);
+        boost::this_fiber::sleep_for(milliseconds{60});
+        CHECK(f.client->read("l", in(1000)).value.bytes == "v");
+        boost::this_fiber::sleep_for(milliseconds{120});
+        CHECK(f.client->read("l", in(1000)).value.version == 0);
+        CHECK(f.post("/lease/1", "").status == 404);
+    });
+}
+
+TEST_CASE("the platform's instance list is seen late") {
+    fixture f;
+    f.thread->run([&] {
+        const auto put =
+            f.http->call(f.address, {"PUT", "/kv/platform/instances", "a", ""}, in(1000), 16);
+        CHECK(put.response.status == 202);
+        CHECK(f.client->read("platform/instances", in(1000)).value.version == 0);
+        CHECK(f.client->watch("platform/instances", 0, in(2000)).value.bytes == "a");
+    });
+}
+
+struct recorded_completions {
+    void on_read(call_id call, const read_outcome& outcome) { reads.push({call, outcome}); }
+    void on_write(call_id call, const write_outcome& outcome) { writes.push({call, outcome}); }
+
+    runtime::mailbox<std::pair<call_id, read_outcome>> reads;
+    runtime::mailbox<std::pair<call_id, write_outcome>> writes;
+};
+
+TEST_CASE("completions of an asynchronous store carry the call that they belong to") {
+    fixture f;
+    f.thread->run([&] {
+        const auto completions = std::make_shared<recorded_completions>();
+        fiber_store<http_store_client, recorded_completions> store{f.thread, f.client, completions,
+                                                                   milliseconds{500}};
+        static_assert(async_store<decltype(store)>);
+        store.compare_and_swap(7, "k", 0, "v");
+        const auto written = completions->writes.pop_until(in(1000));
+        REQUIRE(written);
+        CHECK(written->first == 7);
+        CHECK(written->second.status == store_status::ok);
+        store.read(8, "k");
+        const auto read = completions->reads.pop_until(in(1000));
+        REQUIRE(read);
+        CHECK(read->first == 8);
+        CHECK(read->second.value.bytes == "v");
+    });
+}
+
+}  // namespace
+}  // namespace poplarfront::store
