--- a/packages/runtime/http_server.h
+++ b/packages/runtime/http_server.h
@@ -35,7 +35,7 @@
 /// An HTTP/1.1 server on one fiber thread, one fiber a connection. Malformed requests get status
 /// 400, oversized bodies 413, and the server keeps serving.
 ///
-/// Thread safety: `create`, `stop` and `abort` may be called from any thread but the server's own.
+/// Thread safety: `create` and `stop` may be called from any thread but the server's own.
 class http_server {
 public:
     /// Binds and listens. Several servers may listen on one address, each on its own thread; the
@@ -59,6 +59,10 @@
     /// way are answered; then closes the rest.
     void stop(kernel::duration limit);
 
+    /// Closes the listener and all connections soon, without answering the requests under way.
+    /// May also be called on the server's own thread. Stand-ins model a crash with it.
+    void abort();
+
 private:
     class implementation;
     explicit http_server(std::shared_ptr<implementation> implementation);
--- a/packages/runtime/internal/http_server.cpp
+++ b/packages/runtime/internal/http_server.cpp
@@ -101,6 +101,10 @@
         thread_->run([self = shared_from_this(), limit] { self->drain(limit); });
     }
 
+    void abort() {
+        thread_->spawn([self = shared_from_this()] { self->close_all(); });
+    }
+
 private:
     struct connection {
         beast::tcp_stream stream;
@@ -197,6 +201,15 @@
         }
     }
 
+    void close_all() {
+        stopping_ = true;
+        beast::error_code ignored;
+        acceptor_.close(ignored);
+        for (const auto& it : list_) {
+            it->stream.close();
+        }
+    }
+
     template <class Predicate>
     void close_connections(Predicate predicate) {
         for (const auto& it : list_) {
@@ -242,4 +255,8 @@
     implementation_->stop(limit);
 }
 
+void http_server::abort() {
+    implementation_->abort();
+}
+
 }  // namespace poplarfront::runtime
