Stop modules in two steps

begin_stop was assigned the stop function, because the initialiser of running_module lost a field. The daemon then joined its threads while their fibers waited, and hung.

--- a/packages/kernel/module_registration.h
+++ b/packages/kernel/module_registration.h
@@ -59,15 +59,19 @@
 class module_registration {
 public:
     module_registration()
-        : registration_(module_entry{Module::descriptor(),
-                                     [](module_context& context) -> result<running_module> {
-                                         BOOST_LEAF_AUTO(module, Module::create(context));
-                                         return running_module{Module::descriptor().name,
-                                                               [module] { return module->start(); },
-                                                               [module] { module->stop(); }};
-                                     }}) {}
+        : registration_(module_entry{Module::descriptor(), &create}) {}
 
 private:
+    static result<running_module> create(module_context& context) {
+        BOOST_LEAF_AUTO(module, Module::create(context));
+        running_module running;
+        running.name = Module::descriptor().name;
+        running.start = [module] { return module->start(); };
+        running.begin_stop = [module] { announce_stop(*module); };
+        running.stop = [module] { module->stop(); };
+        return running;
+    }
+
     static void announce_stop(Module& module) {
         if constexpr (requires { module.begin_stop(); }) {
             module.begin_stop();
