Report searchers during the surge; keep the stand-in safe while it restarts

Cause: whether a searcher keeps its share in a surge cannot be seen in totals of the whole run. A restart of the in-process stand-in replaced its server while handlers could read it on another thread, and a surge of a searcher that is not in the mix was ignored.

Change: the report has the results of each searcher within the surge, with answers in time. The stand-in replaces its server on the fiber thread. The load generator refuses a surge of an unknown searcher.

--- a/standins/backend_server/internal/backend_server.cpp
+++ b/standins/backend_server/internal/backend_server.cpp
@@ -75,9 +75,10 @@
                                         const auto self = weak.lock();
                                         return self ? self->handle(request) : http_response{};
                                     }));
-        server_ = std::move(server);
         const auto colon = options_.listen.rfind(':');
-        options_.listen.replace(colon + 1, std::string::npos, std::to_string(server_->port()));
+        options_.listen.replace(colon + 1, std::string::npos, std::to_string(server->port()));
+        // Handlers read server_ on the thread, also while a restart replaces it.
+        thread_->run([this, &server] { server_ = std::move(server); });
         return {};
     }
 
@@ -123,7 +124,7 @@
             return handle_control(request.body);
         }
         if (request.method == "GET" && request.target == "/counters") {
-            return {http_ok, encode_counters(options_.name, counters_, server_->connections())};
+            return {http_ok, encode_counters(options_.name, counters_, connections())};
         }
         return {http_not_found, wire::encode_refusal("not_found", "", "no such resource")};
     }
@@ -199,7 +200,7 @@
         wire::backend_action_reply reply{action.request, action.searcher, attempt_status::shed, ""};
         if (behaviour_.draining) {
             reply.status = attempt_status::draining;
-        } else if (!behaviour_.layouts.back().held.contains(action.target)) {
+        } else if (!is_held_now(action.target)) {
             reply.status = attempt_status::wrong_map;
         } else {
             run_action(action, reply);
@@ -208,6 +209,14 @@
         return {http_ok, wire::encode_backend_action_reply(reply)};
     }
 
+    [[nodiscard]] bool is_held_now(const model::shard_ref& shard) const {
+        return !behaviour_.layouts.empty() && behaviour_.layouts.back().held.contains(shard);
+    }
+
+    [[nodiscard]] std::size_t connections() const {
+        return server_ == nullptr ? 0 : server_->connections();
+    }
+
     /// An action that has a slot takes effect at once and is then carried through, so that the
     /// statuses other than ok mean "not executed".
     void run_action(const model::action_request& action, wire::backend_action_reply& reply) {
@@ -299,7 +308,9 @@
             std::_Exit(crash_exit_code);
         }
         ++counters_.crashes;
-        server_->abort();
+        if (server_ != nullptr) {
+            server_->abort();
+        }
         // The connections are closed on the next turn of the thread; a reply must not precede it.
         boost::this_fiber::sleep_for(crash_pause);
     }
--- a/tools/loadgen/internal/load_plan.cpp
+++ b/tools/loadgen/internal/load_plan.cpp
@@ -34,8 +34,7 @@
 double load_plan::rate_of(const searcher_load& load, microseconds at) const {
     const double usual = options_.rate * load.weight / total_weight_;
     const auto& extra = options_.extra;
-    const bool surges = extra && extra->searcher == load.searcher && at >= extra->from &&
-                        at < extra->from + extra->length;
+    const bool surges = extra && extra->searcher == load.searcher && extra->contains(at);
     return surges ? usual * extra->factor : usual;
 }
 
--- a/tools/loadgen/internal/load_report.cpp
+++ b/tools/loadgen/internal/load_report.cpp
@@ -26,13 +26,31 @@
     out << '\n';
 }
 
+void write_searchers(std::ostream& out, const char* title,
+                     const std::map<std::string, searcher_result>& searchers) {
+    for (const auto& [name, it] : searchers) {
+        out << title << name << " sent=" << it.sent << " answered=" << it.answered
+            << " in time=" << it.in_time << " refused=" << it.refused << " failed=" << it.failed
+            << '\n';
+    }
+}
+
 json::object to_object(const searcher_result& it) {
     return {{"sent", it.sent},
             {"answered", it.answered},
+            {"in_time", it.in_time},
             {"refused", it.refused},
             {"failed", it.failed}};
 }
 
+json::object to_object(const std::map<std::string, searcher_result>& searchers) {
+    json::object object;
+    for (const auto& [name, it] : searchers) {
+        object[name] = to_object(it);
+    }
+    return object;
+}
+
 }  // namespace
 
 double load_report::coverage() const {
@@ -68,10 +86,8 @@
     write_counts(out, "refused  ", report.refused_by_type);
     write_counts(out, "errors   ", report.errors);
     write_counts(out, "actions  ", report.action_statuses);
-    for (const auto& [name, it] : report.searchers) {
-        out << "searcher  " << name << " sent=" << it.sent << " answered=" << it.answered
-            << " refused=" << it.refused << " failed=" << it.failed << '\n';
-    }
+    write_searchers(out, "searcher  ", report.searchers);
+    write_searchers(out, "in surge  ", report.searchers_in_surge);
     out << "broken promises: " << report.broken_promises << '\n';
     for (const auto& it : report.broken_examples) {
         out << "  " << it << '\n';
@@ -80,10 +96,6 @@
 }
 
 std::string to_json(const load_report& report) {
-    json::object searchers;
-    for (const auto& [name, it] : report.searchers) {
-        searchers[name] = to_object(it);
-    }
     return json::serialize(json::object{
         {"seconds", report.seconds},
         {"sent", report.sent},
@@ -97,7 +109,8 @@
         {"refused_by_type", json::parse(metrics::encode_counters(report.refused_by_type))},
         {"errors", json::parse(metrics::encode_counters(report.errors))},
         {"action_statuses", json::parse(metrics::encode_counters(report.action_statuses))},
-        {"searchers", std::move(searchers)},
+        {"searchers", to_object(report.searchers)},
+        {"searchers_in_surge", to_object(report.searchers_in_surge)},
         {"backend_queries", report.backend_queries},
         {"extra_load", report.extra_load()},
         {"broken_promises", report.broken_promises},
--- a/tools/loadgen/internal/load_run.cpp
+++ b/tools/loadgen/internal/load_run.cpp
@@ -82,9 +82,9 @@
 
 private:
     void offer(const planned_request& request) {
-        statistics_.on_sent(request.searcher.text());
+        statistics_.on_sent(origin_of(request));
         if (in_flight_ >= options_.max_in_flight) {
-            statistics_.on_error(request.searcher.text(), "not_offered");
+            statistics_.on_error(origin_of(request), "not_offered");
             return;
         }
         ++in_flight_;
@@ -105,6 +105,15 @@
         ended_.wait(lock, [this] { return in_flight_ == 0; });
     }
 
+    [[nodiscard]] request_origin origin_of(const planned_request& request) const {
+        return {request.searcher.text(), options_.extra && options_.extra->contains(request.at)};
+    }
+
+    [[nodiscard]] answer_time time_since(kernel::time_point begin) const {
+        const auto latency = now() - begin;
+        return {latency, latency > options_.deadline};
+    }
+
     [[nodiscard]] std::string request_name(const planned_request& request) const {
         return "load-" + run_name_ + "-" + std::to_string(request.number);
     }
@@ -127,17 +136,17 @@
             body["group"] = options_.group;
         }
         const auto result = post(request.instance, "/v1/search", body);
-        const auto latency = now() - (start_ + request.at);
-        const auto& searcher = request.searcher.text();
+        const auto time = time_since(start_ + request.at);
+        const auto origin = origin_of(request);
         if (is_answer(result)) {
             const auto answer = decoded<received_answer>(decode_answer, result.response.body);
             if (answer) {
-                statistics_.on_answer({name, searcher, request.query}, *answer, latency,
-                                      latency > options_.deadline);
+                statistics_.on_answer(origin, {name, origin.searcher, request.query}, *answer,
+                                      time);
                 return;
             }
         }
-        count_unanswered(searcher, result);
+        count_unanswered(origin, result);
     }
 
     void act(const planned_request& request) {
@@ -169,19 +178,19 @@
                      const json::object& body, action_history& history) {
         const auto sent = now();
         const auto result = post(instance, "/v1/actions", body);
-        const auto latency = now() - sent;
-        const auto& searcher = request.searcher.text();
+        const auto time = time_since(sent);
+        const auto origin = origin_of(request);
         const auto outcome = is_answer(result)
                                  ? decoded<received_outcome>(decode_outcome, result.response.body)
                                  : std::nullopt;
         if (!outcome) {
-            const bool refused = count_unanswered(searcher, result);
+            const bool refused = count_unanswered(origin, result);
             history.statuses.emplace_back(refused ? "not_run" : "");
             return false;
         }
-        statistics_.on_outcome(searcher, outcome->status, latency, latency > options_.deadline);
+        statistics_.on_outcome(origin, outcome->status, time);
         history.statuses.push_back(outcome->status);
-        if (outcome->searcher != searcher || outcome->request_key != history.request_key ||
+        if (outcome->searcher != origin.searcher || outcome->request_key != history.request_key ||
             outcome->request != request_name(request)) {
             statistics_.on_broken("the outcome of action " + history.request_key +
                                   " belongs to another request");
@@ -194,15 +203,15 @@
     }
 
     /// True if the request was refused, false if it is not known what became of it.
-    bool count_unanswered(const std::string& searcher, const runtime::call_result& result) {
+    bool count_unanswered(const request_origin& origin, const runtime::call_result& result) {
         const auto refusal = result.status == runtime::call_status::answered
                                  ? decoded<received_refusal>(decode_refusal, result.response.body)
                                  : std::nullopt;
         if (refusal) {
-            statistics_.on_refused(searcher, *refusal);
+            statistics_.on_refused(origin, *refusal);
             return refusal->not_run;
         }
-        statistics_.on_error(searcher, error_of(result.status));
+        statistics_.on_error(origin, error_of(result.status));
         return result.status == runtime::call_status::not_sent;
     }
 
@@ -233,7 +242,7 @@
             return;
         }
         if (!counters_known_) {
-            statistics_.on_error("", "backend_counters_unknown");
+            statistics_.on_error("backend_counters_unknown");
             return;
         }
         for (const auto& history : histories_) {
--- a/tools/loadgen/internal/load_statistics.cpp
+++ b/tools/loadgen/internal/load_statistics.cpp
@@ -2,14 +2,22 @@
 
 namespace poplarfront::loadgen {
 
-void load_statistics::on_sent(const std::string& searcher) {
+template <class Count>
+void load_statistics::count(const request_origin& origin, Count count) {
+    count(totals_.searchers[origin.searcher]);
+    if (origin.in_surge) {
+        count(totals_.searchers_in_surge[origin.searcher]);
+    }
+}
+
+void load_statistics::on_sent(const request_origin& origin) {
     ++totals_.sent;
-    ++totals_.searchers[searcher].sent;
+    count(origin, [](searcher_result& it) { ++it.sent; });
 }
 
-void load_statistics::on_answer(const expected_answer& expected, const received_answer& answer,
-                                kernel::duration latency, bool late) {
-    count_answered(expected.searcher, latency, late);
+void load_statistics::on_answer(const request_origin& origin, const expected_answer& expected,
+                                const received_answer& answer, const answer_time& time) {
+    count_answered(origin, time);
     totals_.complete += answer.complete ? 1 : 0;
     totals_.covered_shards += answer.covered.size();
     totals_.missing_shards += answer.missing.size();
@@ -18,22 +26,26 @@
     }
 }
 
-void load_statistics::on_outcome(const std::string& searcher, const std::string& status,
-                                 kernel::duration latency, bool late) {
-    count_answered(searcher, latency, late);
+void load_statistics::on_outcome(const request_origin& origin, const std::string& status,
+                                 const answer_time& time) {
+    count_answered(origin, time);
     action_statuses_.add(status);
 }
 
-void load_statistics::on_refused(const std::string& searcher, const received_refusal& refusal) {
-    ++totals_.searchers[searcher].refused;
+void load_statistics::on_refused(const request_origin& origin, const received_refusal& refusal) {
+    count(origin, [](searcher_result& it) { ++it.refused; });
     refused_.add(refusal.type);
     if (!refusal.not_run) {
         on_broken("a refusal of type " + refusal.type + " does not say that nothing ran");
     }
 }
 
-void load_statistics::on_error(const std::string& searcher, std::string_view type) {
-    ++totals_.searchers[searcher].failed;
+void load_statistics::on_error(const request_origin& origin, std::string_view type) {
+    count(origin, [](searcher_result& it) { ++it.failed; });
+    on_error(type);
+}
+
+void load_statistics::on_error(std::string_view type) {
     errors_.add(type);
 }
 
@@ -56,12 +68,14 @@
     return result;
 }
 
-void load_statistics::count_answered(const std::string& searcher, kernel::duration latency,
-                                     bool late) {
+void load_statistics::count_answered(const request_origin& origin, const answer_time& time) {
     ++totals_.answered;
-    ++totals_.searchers[searcher].answered;
-    totals_.late += late ? 1 : 0;
-    latency_.record(latency);
+    totals_.late += time.late ? 1 : 0;
+    latency_.record(time.latency);
+    count(origin, [&](searcher_result& it) {
+        ++it.answered;
+        it.in_time += time.late ? 0 : 1;
+    });
 }
 
 }  // namespace poplarfront::loadgen
--- a/tools/loadgen/load_options.h
+++ b/tools/loadgen/load_options.h
@@ -23,6 +23,11 @@
     double factor = 1.0;
     std::chrono::milliseconds from{0};
     std::chrono::milliseconds length{0};
+
+    /// Whether the surge is on at a time since the start of the run.
+    [[nodiscard]] bool contains(std::chrono::microseconds at) const {
+        return at >= from && at < from + length;
+    }
     friend auto operator<=>(const surge&, const surge&) = default;
 };
 
--- a/tools/loadgen/load_report.h
+++ b/tools/loadgen/load_report.h
@@ -13,6 +13,8 @@
 struct searcher_result {
     std::uint64_t sent = 0;
     std::uint64_t answered = 0;
+    /// Answered before the deadline.
+    std::uint64_t in_time = 0;
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
     friend auto operator<=>(const searcher_result&, const searcher_result&) = default;
@@ -33,6 +35,8 @@
     metrics::counter_snapshot errors;
     metrics::counter_snapshot action_statuses;
     std::map<std::string, searcher_result> searchers;
+    /// Only what was planned during the surge.
+    std::map<std::string, searcher_result> searchers_in_surge;
     /// Requests that the backend servers counted; zero if none were named.
     std::uint64_t backend_queries = 0;
     std::uint64_t broken_promises = 0;
--- a/tools/loadgen/process/command_line.cpp
+++ b/tools/loadgen/process/command_line.cpp
@@ -195,7 +195,11 @@
 bool is_usable(const load_options& options) {
     const bool has_services = !options.services.empty() || !options.group.empty();
     const bool has_targets = options.action_fraction == 0 || !options.action_targets.empty();
-    return !options.instances.empty() && has_services && has_targets;
+    const bool has_surging =
+        !options.extra ||
+        std::any_of(options.searchers.begin(), options.searchers.end(),
+                    [&](const auto& it) { return it.searcher == options.extra->searcher; });
+    return !options.instances.empty() && has_services && has_targets && has_surging;
 }
 
 }  // namespace
--- a/tools/loadgen/tests/loadgen_test.cpp
+++ b/tools/loadgen/tests/loadgen_test.cpp
@@ -184,9 +184,12 @@
     options.instances = {instance.address()};
     options.backends = {instance.address()};
     options.query = "none";
+    options.extra = surge{acme, 3.0, milliseconds{500}, milliseconds{250}};
     const auto report = run_load(options);
     const auto& refused = report.searchers.at("rival");
-    CHECK(report.sent == Approx(400).epsilon(0.2));
+    CHECK(report.sent == Approx(550).epsilon(0.2));
+    CHECK(report.searchers_in_surge.at("acme").in_time == Approx(225).epsilon(0.3));
+    CHECK(report.searchers_in_surge.at("rival").refused == Approx(25).epsilon(0.6));
     CHECK(refused.refused == refused.sent);
     CHECK(report.refused_by_type.value("no_time") == refused.sent);
     CHECK(report.answered + refused.sent == report.sent);
