--- /dev/null
+++ b/packages/retry/latency_quantile.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstddef>
+#include <optional>
+
+#include "kernel/concepts.h"
+
+namespace poplarfront::retry {
+
+/// Quantiles of recent latencies, from a histogram with logarithmic buckets whose weights are
+/// halved at regular counts. A quantile is at most 19% above the true one. Not thread-safe.
+class latency_quantile {
+public:
+    void observe(kernel::duration latency) {
+        weights_.at(bucket_of(latency)) += 1;
+        total_ += 1;
+        if (total_ >= halving_count) {
+            halve();
+        }
+    }
+
+    /// The latency that a `fraction` of the observations does not exceed; absent before
+    /// min_observations.
+    [[nodiscard]] std::optional<kernel::duration> quantile(double fraction) const {
+        if (total_ < min_observations) {
+            return std::nullopt;
+        }
+        double below = 0;
+        for (std::size_t it = 0; it < bucket_count; ++it) {
+            below += weights_.at(it);
+            if (below >= fraction * total_) {
+                return upper_bound(it);
+            }
+        }
+        return upper_bound(bucket_count - 1);
+    }
+
+private:
+    // 80 buckets of a quarter octave span 50 us to 50 s.
+    static constexpr std::size_t bucket_count = 80;
+    static constexpr double buckets_per_octave = 4;
+    static constexpr double first_bucket_us = 50;
+    static constexpr double halving_count = 1000;
+    static constexpr double min_observations = 20;
+
+    static std::size_t bucket_of(kernel::duration latency) {
+        const double us = std::chrono::duration<double, std::micro>(latency).count();
+        if (us <= first_bucket_us) {
+            return 0;
+        }
+        const double position = std::ceil(std::log2(us / first_bucket_us) * buckets_per_octave);
+        return std::min(bucket_count - 1, static_cast<std::size_t>(position));
+    }
+
+    static kernel::duration upper_bound(std::size_t bucket) {
+        const double us =
+            first_bucket_us * std::exp2(static_cast<double>(bucket) / buckets_per_octave);
+        return std::chrono::duration_cast<kernel::duration>(
+            std::chrono::duration<double, std::micro>(us));
+    }
+
+    void halve() {
+        total_ = 0;
+        for (auto& it : weights_) {
+            it /= 2;
+            total_ += it;
+        }
+    }
+
+    std::array<double, bucket_count> weights_{};
+    double total_ = 0;
+};
+
+}  // namespace poplarfront::retry
--- /dev/null
+++ b/packages/retry/retry_budget.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <algorithm>
+
+#include "kernel/concepts.h"
+
+namespace poplarfront::retry {
+
+struct retry_budget_options {
+    /// Extra requests per primary while no failure is observed.
+    double steady_ratio = 0.05;
+    /// Extra requests per primary while failures are observed.
+    double fault_ratio = 0.10;
+    /// How long after a failure the fault ratio applies.
+    kernel::duration fault_window = std::chrono::seconds{5};
+    /// Most tokens that can be saved up; the budget starts with these.
+    double burst = 10;
+    /// Without traffic one token returns per interval, up to a single one, so that the query of a
+    /// quiet instance can still be retried once.
+    kernel::duration idle_refill = std::chrono::seconds{10};
+};
+
+/// Token budget for hedges and retries: each primary earns a fraction of a token and each extra
+/// request takes one. Not thread-safe.
+class retry_budget {
+public:
+    explicit retry_budget(retry_budget_options options = {})
+        : options_(options), tokens_(options.burst) {}
+
+    /// Counts a primary request.
+    void on_primary(kernel::time_point now) {
+        const double earned = observes_failures(now) ? options_.fault_ratio : options_.steady_ratio;
+        tokens_ = std::min(options_.burst, tokens_ + earned);
+    }
+
+    /// Counts a failed attempt.
+    void on_failure(kernel::time_point now) { failing_until_ = now + options_.fault_window; }
+
+    /// Takes a token for one extra request. False if there is none.
+    bool try_take(kernel::time_point now) {
+        refill_idle(now);
+        // Sums of 0.05 fall short of 1 by rounding.
+        constexpr double rounding = 1e-9;
+        if (tokens_ + rounding < 1) {
+            return false;
+        }
+        tokens_ -= 1;
+        idle_token_at_ = now + options_.idle_refill;
+        return true;
+    }
+
+    [[nodiscard]] bool observes_failures(kernel::time_point now) const {
+        return now <= failing_until_;
+    }
+
+    [[nodiscard]] double tokens() const { return tokens_; }
+
+private:
+    void refill_idle(kernel::time_point now) {
+        if (now >= idle_token_at_) {
+            tokens_ = std::max(tokens_, std::min(1.0, options_.burst));
+        }
+    }
+
+    retry_budget_options options_;
+    double tokens_ = 0;
+    kernel::time_point failing_until_ = kernel::time_point::min();
+    kernel::time_point idle_token_at_ = kernel::time_point::max();
+};
+
+}  // namespace poplarfront::retry
--- /dev/null
+++ b/packages/snapshot/version_tracker.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "model/backend.h"
+#include "model/shard_map.h"
+
+namespace poplarfront::snapshot {
+
+/// Which index versions backend servers and shards are known to hold, from replies. What it says is
+/// a belief: a backend server may have dropped a version since. Not thread-safe.
+class version_tracker {
+public:
+    /// Takes what a backend server said; the latest statement replaces earlier ones.
+    void observe(const model::server_id& server, const model::version_range& held) {
+        servers_.insert_or_assign(server, held);
+    }
+
+    /// Takes what an owner said about a shard without naming the backend server.
+    void observe(const model::shard_ref& shard, const model::version_range& held) {
+        shards_.insert_or_assign(shard, held);
+    }
+
+    /// Forgets backend servers and shards that are no longer in the map.
+    void retain(const model::shard_map& map) {
+        std::erase_if(servers_,
+                      [&](const auto& it) { return map.find_server(it.first) == nullptr; });
+        std::erase_if(shards_, [&](const auto& it) { return map.find_shard(it.first) == nullptr; });
+    }
+
+    [[nodiscard]] std::optional<model::version_range> held_by(
+        const model::server_id& server) const {
+        const auto it = servers_.find(server);
+        return it == servers_.end() ? std::nullopt : std::optional{it->second};
+    }
+
+    /// The newest version that at least one replica of every shard is believed to serve. Shards
+    /// about which nothing is known do not limit the choice. Absent if nothing is known, or if no
+    /// version is common to all shards.
+    [[nodiscard]] std::optional<model::index_version> choose(
+        const model::shard_map& map, std::span<const model::shard_ref> shards) const {
+        std::vector<std::vector<model::version_range>> known;
+        for (const auto& shard : shards) {
+            auto ranges = ranges_of(map, shard);
+            if (!ranges.empty()) {
+                known.push_back(std::move(ranges));
+            }
+        }
+        if (known.empty()) {
+            return std::nullopt;
+        }
+        return newest_common(known);
+    }
+
+private:
+    using ranges = std::vector<model::version_range>;
+
+    [[nodiscard]] ranges ranges_of(const model::shard_map& map,
+                                   const model::shard_ref& shard) const {
+        ranges found;
+        if (const auto it = shards_.find(shard); it != shards_.end()) {
+            found.push_back(it->second);
+        }
+        const auto* info = map.find_shard(shard);
+        if (info == nullptr) {
+            return found;
+        }
+        for (const auto& replica : info->replicas) {
+            if (const auto held = held_by(replica)) {
+                found.push_back(*held);
+            }
+        }
+        return found;
+    }
+
+    /// The newest version in `held` that is not above `limit`.
+    static std::optional<model::index_version> newest_up_to(const ranges& held,
+                                                            model::index_version limit) {
+        std::optional<model::index_version> newest;
+        for (const auto& it : held) {
+            if (it.oldest <= limit && it.oldest <= it.newest) {
+                newest = std::max(newest, std::optional{std::min(it.newest, limit)});
+            }
+        }
+        return newest;
+    }
+
+    static std::optional<model::index_version> newest_common(const std::vector<ranges>& known) {
+        model::index_version candidate{~std::uint64_t{0}};
+        bool lowered = true;
+        while (lowered) {
+            lowered = false;
+            for (const auto& held : known) {
+                const auto newest = newest_up_to(held, candidate);
+                if (!newest) {
+                    return std::nullopt;
+                }
+                lowered = lowered || *newest < candidate;
+                candidate = *newest;
+            }
+        }
+        return candidate;
+    }
+
+    std::map<model::server_id, model::version_range> servers_;
+    std::map<model::shard_ref, model::version_range> shards_;
+};
+
+}  // namespace poplarfront::snapshot
