Complete the decision code of searches

Cause: the first path had one owner, one replica and no failure handling.

Failed try: counting each lost connection as a crash symptom was dropped on paper, since one lost backend server would quarantine every query with two shards on it.

--- a/packages/routing/query_session.h
+++ b/packages/routing/query_session.h
@@ -1,97 +1,498 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "kernel/concepts.h"
 #include "model/search.h"
+#include "routing/query_plan.h"
+#include "routing/routing_context.h"
 #include "routing/sub_query.h"
 #include "routing/transport.h"
 
 namespace poplarfront::routing {
 
-/// Executes one search on the entry instance: sends the shards to owners and merges the results of
-/// one snapshot into an answer.
+/// Executes one search on the entry instance: plans it, sends one batch per owner, resends batches
+/// of slow or lost owners, restarts on a newer snapshot, and merges results of one snapshot into an
+/// answer.
 ///
-/// Thread safety: used on one thread. The transport and the clock must outlive the session.
-template <kernel::clock_source Clock, owner_transport Transport>
+/// Thread safety: used on one thread. The planner, the transport, the clock and the shared objects
+/// must outlive the session.
+template <kernel::clock_source Clock, owner_transport Transport, query_planner Planner>
 class query_session {
 public:
-    /// Precondition: `shards` is sorted, and `owner` may execute all of them.
-    query_session(const Clock& clock, Transport& transport, model::search_request request,
-                  model::pin snapshot, std::vector<model::shard_ref> shards,
-                  model::instance_id owner)
+    query_session(const Clock& clock, Transport& transport, routing_context shared,
+                  Planner& planner, model::search_request request)
         : clock_(clock),
           transport_(transport),
+          shared_(shared),
+          planner_(planner),
           request_(std::move(request)),
-          owner_(std::move(owner)),
-          batch_{
-              request_.request, 1, request_.searcher, snapshot, request_.query, request_.deadline,
-              std::move(shards)} {}
+          fingerprint_(fingerprint_of(request_.searcher, request_.query)) {}
 
-    void start() { transport_.send(owner_, batch_); }
+    /// Sends the first batches. A quarantined query gets its answer at once, with nothing sent.
+    void start() { execute(planner_.plan(request_)); }
 
-    /// Takes the result of a batch; one that matches no open batch is ignored.
+    /// Takes the result of a batch; one that matches no open batch is dropped and counted.
     void on_result(const sub_query_result& result) {
-        const bool matches = result.request == batch_.request && result.batch == batch_.batch &&
-                             result.searcher == batch_.searcher;
-        if (!answer_ && matches) {
-            finish(result.shards);
+        const auto it = std::find_if(open_.begin(), open_.end(),
+                                     [&](const auto& open) { return matches(open, result); });
+        if (answer_ || it == open_.end()) {
+            ++shared_.counters.dropped_replies;
+            return;
+        }
+        const auto batch = *it;
+        open_.erase(it);
+        const auto latency = clock_.now() - batch.sent_at;
+        shared_.batch_hedge.observe(model::service_id{}, latency);
+        for (const auto& shard : result.shards) {
+            take(batch, shard);
+        }
+        mark_unreported(batch);
+        if (!check_quarantine() && !try_restart()) {
+            advance_canary();
+            settle();
         }
     }
 
-    /// Must be called when the time of next_timer() has come.
+    /// Must be called when an owner is known to have failed, or a batch could not be sent to it.
+    void on_owner_lost(const model::instance_id& owner) {
+        if (answer_) {
+            return;
+        }
+        const auto now = clock_.now();
+        for (auto& it : open_) {
+            if (it.owner == owner && !it.lost) {
+                it.lost = true;
+                it.resend_at = now;
+                shared_.batch_budget.on_failure(now);
+            }
+        }
+        on_timer();
+    }
+
+    /// Must be called when the time of next_timer() has come, and after the quarantine list has
+    /// changed; harmless at other times.
     void on_timer() {
-        if (!answer_ && clock_.now() >= batch_.deadline) {
-            transport_.cancel(owner_, batch_);
-            finish({});
+        if (answer_ || check_quarantine()) {
+            return;
+        }
+        if (clock_.now() >= request_.deadline) {
+            finish();
+            return;
+        }
+        if (restart_until_ && clock_.now() >= next_poll_ && try_restart()) {
+            return;
+        }
+        if (canary_until_ && clock_.now() >= *canary_until_) {
+            on_canary_late();
         }
+        resend_late();
+        settle();
     }
 
-    [[nodiscard]] kernel::time_point next_timer() const { return batch_.deadline; }
+    [[nodiscard]] kernel::time_point next_timer() const {
+        auto next = request_.deadline;
+        if (canary_until_) {
+            next = std::min(next, *canary_until_);
+        }
+        if (restart_until_) {
+            next = std::min(next, next_poll_);
+        }
+        for (const auto& it : open_) {
+            next = std::min(next, it.resend_at.value_or(next));
+        }
+        return next;
+    }
 
     /// The answer, once there is one.
     [[nodiscard]] const std::optional<model::search_answer>& answer() const { return answer_; }
 
 private:
-    void finish(const std::vector<shard_result>& results) {
-        std::map<model::shard_ref, const shard_result*> by_shard;
-        for (const auto& it : results) {
-            by_shard.emplace(it.shard, &it);
-        }
-        model::search_answer answer{request_.request, request_.searcher, batch_.snapshot, {}, {}};
-        for (const auto& shard : batch_.shards) {
-            const auto it = by_shard.find(shard);
-            if (it == by_shard.end()) {
-                answer.shards.push_back({shard, model::missing_reason::timed_out});
+    struct group_state {
+        shard_group group;
+        /// Index of the owner to send to next.
+        std::size_t next_owner = 0;
+        bool sent = false;
+    };
+
+    struct open_batch {
+        model::instance_id owner;
+        sub_query_batch batch;
+        std::vector<std::size_t> groups;
+        kernel::time_point sent_at;
+        /// When the batch is sent to the next owners as well; absent after that.
+        std::optional<kernel::time_point> resend_at;
+        bool lost = false;
+    };
+
+    [[nodiscard]] bool matches(const open_batch& open, const sub_query_result& result) const {
+        const bool same_owner =
+            open.batch.request == result.request && open.batch.searcher == result.searcher;
+        return open.batch.batch == result.batch && (same_owner || !shared_.policy.match_identity);
+    }
+
+    void execute(query_plan plan) {
+        snapshot_ = plan.snapshot;
+        tried_pins_.insert(snapshot_);
+        groups_.clear();
+        results_.clear();
+        shards_.clear();
+        restart_until_.reset();
+        canary_until_.reset();
+        for (auto& it : plan.groups) {
+            shards_.insert(shards_.end(), it.shards.begin(), it.shards.end());
+            groups_.push_back({std::move(it)});
+        }
+        std::sort(shards_.begin(), shards_.end());
+        if (check_quarantine()) {
+            return;
+        }
+        if (wants_canary()) {
+            send_canary();
+        } else {
+            send_rest();
+        }
+        settle();
+    }
+
+    [[nodiscard]] bool suspected() const {
+        return !shared_.quarantine.known_good(fingerprint_) &&
+               shared_.quarantine.symptoms(fingerprint_, clock_.now()) > 0;
+    }
+
+    [[nodiscard]] bool wants_canary() const {
+        if (!shared_.policy.use_quarantine || shared_.quarantine.known_good(fingerprint_)) {
+            return false;
+        }
+        return shards_.size() >= shared_.policy.canary_shards ||
+               (shards_.size() > 1 && suspected());
+    }
+
+    /// Sends one shard that was not sent before, as a group of its own.
+    void send_canary() {
+        const auto unsent = std::find_if(groups_.begin(), groups_.end(), [](const auto& it) {
+            return !it.sent && !it.group.shards.empty();
+        });
+        if (unsent == groups_.end()) {
+            return;
+        }
+        auto& shards = unsent->group.shards;
+        auto canary = *unsent;
+        // Canaries of different queries go to different shards.
+        const auto position = fingerprint_ % shards.size();
+        canary.group.shards = {shards[position]};
+        shards.erase(shards.begin() + static_cast<std::ptrdiff_t>(position));
+        groups_.push_back(std::move(canary));
+        canary_group_ = groups_.size() - 1;
+        canary_until_ = clock_.now() + shared_.policy.canary_wait;
+        ++shared_.counters.canaries;
+        send_groups({canary_group_}, false);
+    }
+
+    /// Goes on when the canary has ended: with the rest, or, if its backend server was lost, with
+    /// another canary.
+    void advance_canary() {
+        if (!canary_until_) {
+            return;
+        }
+        const auto& canary = groups_[canary_group_].group.shards.front();
+        if (!ended(canary)) {
+            return;
+        }
+        canary_until_.reset();
+        if (suspected()) {
+            send_canary();
+        } else {
+            send_rest();
+        }
+    }
+
+    void on_canary_late() {
+        if (suspected()) {
+            // A crash was reported: its owner is trying another replica.
+            canary_until_ = clock_.now() + shared_.policy.canary_wait;
+            return;
+        }
+        canary_until_.reset();
+        send_rest();
+    }
+
+    void send_rest() {
+        std::vector<std::size_t> unsent;
+        for (std::size_t it = 0; it < groups_.size(); ++it) {
+            if (!groups_[it].sent && !groups_[it].group.shards.empty()) {
+                unsent.push_back(it);
+            }
+        }
+        send_groups(unsent, false);
+    }
+
+    /// Sends each group to its next owner, one batch per owner. Groups without one are skipped.
+    void send_groups(const std::vector<std::size_t>& groups, bool resend) {
+        std::map<model::instance_id, std::vector<std::size_t>> by_owner;
+        for (const auto it : groups) {
+            auto& group = groups_[it];
+            group.sent = true;
+            if (group.next_owner < group.group.owners.size()) {
+                by_owner[group.group.owners[group.next_owner]].push_back(it);
+                ++group.next_owner;
+            }
+        }
+        for (const auto& [owner, indexes] : by_owner) {
+            send_batch(owner, indexes, resend);
+        }
+    }
+
+    void send_batch(const model::instance_id& owner, const std::vector<std::size_t>& indexes,
+                    bool resend) {
+        const auto now = clock_.now();
+        sub_query_batch batch{
+            request_.request, next_batch_, request_.searcher, snapshot_, request_.query,
+            owner_deadline(), {}};
+        ++next_batch_;
+        for (const auto it : indexes) {
+            for (const auto& shard : groups_[it].group.shards) {
+                if (!covered(shard)) {
+                    batch.shards.push_back(shard);
+                }
+            }
+        }
+        std::sort(batch.shards.begin(), batch.shards.end());
+        if (!resend) {
+            shared_.batch_budget.on_primary(now);
+            ++shared_.counters.batches;
+        }
+        const auto resend_at = now + shared_.batch_hedge.delay(model::service_id{});
+        open_.push_back({owner, batch, indexes, now, resend_at});
+        transport_.send(owner, batch);
+    }
+
+    [[nodiscard]] kernel::time_point owner_deadline() const {
+        constexpr int largest_part = 10;
+        const auto remaining = request_.deadline - clock_.now();
+        return request_.deadline - std::min(shared_.policy.owner_margin, remaining / largest_part);
+    }
+
+    /// Sends the unfinished groups of late batches to their next owners, within the budget.
+    void resend_late() {
+        const auto now = clock_.now();
+        std::vector<std::size_t> again;
+        for (auto& it : open_) {
+            if (!it.resend_at || now < *it.resend_at) {
+                continue;
+            }
+            const auto groups = resendable(it);
+            if (groups.empty()) {
+                it.resend_at.reset();
+            } else if (!shared_.batch_budget.try_take(now)) {
+                ++shared_.counters.budget_denials;
+                it.resend_at = now + shared_.policy.retry_backoff.delay(denials_++, shared_.random);
             } else {
-                add(*it->second, answer);
+                ++shared_.counters.batch_resends;
+                it.resend_at.reset();
+                again.insert(again.end(), groups.begin(), groups.end());
             }
         }
-        std::sort(answer.records.begin(), answer.records.end());
-        answer_ = std::move(answer);
+        std::sort(again.begin(), again.end());
+        again.erase(std::unique(again.begin(), again.end()), again.end());
+        send_groups(again, true);
+        std::erase_if(open_, [](const auto& it) { return it.lost && !it.resend_at; });
+    }
+
+    [[nodiscard]] std::vector<std::size_t> resendable(const open_batch& batch) const {
+        std::vector<std::size_t> found;
+        for (const auto it : batch.groups) {
+            const auto& group = groups_[it];
+            const bool unfinished =
+                !std::all_of(group.group.shards.begin(), group.group.shards.end(),
+                             [&](const auto& shard) { return covered(shard); });
+            if (unfinished && group.next_owner < group.group.owners.size()) {
+                found.push_back(it);
+            }
+        }
+        return found;
+    }
+
+    /// Takes the result of one shard; a covered one replaces a missing one.
+    void take(const open_batch& batch, const shard_result& result) {
+        const auto& asked = batch.batch.shards;
+        if (!std::binary_search(asked.begin(), asked.end(), result.shard)) {
+            return;
+        }
+        const auto now = clock_.now();
+        if (result.versions) {
+            shared_.versions.observe(result.shard, *result.versions);
+        }
+        for (const auto& server : result.crashed) {
+            shared_.quarantine.on_symptom(fingerprint_, server, now);
+        }
+        if (result.reason == model::missing_reason::quarantined) {
+            shared_.quarantine.import({fingerprint_, {}, true}, now);
+        }
+        if (result.reason == model::missing_reason::none) {
+            shared_.quarantine.on_good(fingerprint_);
+        }
+        if (!covered(result.shard)) {
+            results_.insert_or_assign(result.shard, checked(result));
+        }
+    }
+
+    /// A result of another version than the pinned one is not used.
+    [[nodiscard]] shard_result checked(const shard_result& result) const {
+        const bool other_version =
+            result.reason == model::missing_reason::none && result.version != snapshot_.version;
+        if (other_version && shared_.policy.match_version) {
+            return {result.shard, model::missing_reason::version_unavailable, {}, {}, {}};
+        }
+        return result;
+    }
+
+    void mark_unreported(const open_batch& batch) {
+        for (const auto& shard : batch.batch.shards) {
+            results_.try_emplace(shard, shard_result{shard, model::missing_reason::owner_lost});
+        }
+    }
+
+    [[nodiscard]] bool covered(const model::shard_ref& shard) const {
+        const auto it = results_.find(shard);
+        return it != results_.end() && it->second.reason == model::missing_reason::none;
+    }
+
+    /// Ends the query if it was quarantined meanwhile.
+    bool check_quarantine() {
+        const bool quarantined = shared_.policy.use_quarantine &&
+                                 shared_.quarantine.quarantined(fingerprint_, clock_.now());
+        if (!quarantined) {
+            return false;
+        }
+        for (const auto& shard : shards_) {
+            if (!covered(shard)) {
+                results_.insert_or_assign(shard,
+                                          shard_result{shard, model::missing_reason::quarantined});
+            }
+        }
+        finish();
+        return true;
     }
 
-    void add(const shard_result& result, model::search_answer& answer) const {
-        const bool covered = result.reason == model::missing_reason::none;
-        if (covered && result.version != batch_.snapshot.version) {
-            answer.shards.push_back({result.shard, model::missing_reason::version_unavailable});
+    [[nodiscard]] bool pin_refused() const {
+        return std::any_of(results_.begin(), results_.end(), [](const auto& it) {
+            return it.second.reason == model::missing_reason::version_unavailable ||
+                   it.second.reason == model::missing_reason::map_changed;
+        });
+    }
+
+    /// Starts the whole query again if its pin cannot be served and there is one not yet tried.
+    bool try_restart() {
+        const auto now = clock_.now();
+        next_poll_ = now + shared_.policy.restart_poll;
+        if (!pin_refused() || restarts_ >= shared_.policy.max_restarts) {
+            return false;
+        }
+        auto plan = planner_.plan(request_);
+        const bool older_map = plan.snapshot.map_revision < snapshot_.map_revision;
+        if (older_map || tried_pins_.contains(plan.snapshot) || now >= owner_deadline()) {
+            return false;
+        }
+        ++restarts_;
+        ++shared_.counters.restarts;
+        cancel_open();
+        execute(std::move(plan));
+        return true;
+    }
+
+    /// Ends the query once nothing more can arrive.
+    void settle() {
+        if (answer_ || canary_until_) {
+            return;
+        }
+        const bool ended = std::all_of(shards_.begin(), shards_.end(),
+                                       [&](const auto& shard) { return this->ended(shard); });
+        if (!ended) {
             return;
         }
-        answer.shards.push_back({result.shard, result.reason});
-        if (covered) {
+        const auto now = clock_.now();
+        if (pin_refused() && restarts_ < shared_.policy.max_restarts) {
+            if (!restart_until_) {
+                restart_until_ = now + shared_.policy.restart_wait;
+                next_poll_ = now + shared_.policy.restart_poll;
+            }
+            if (now < *restart_until_) {
+                return;
+            }
+        }
+        finish();
+    }
+
+    [[nodiscard]] bool ended(const model::shard_ref& shard) const {
+        return covered(shard) || std::none_of(open_.begin(), open_.end(), [&](const auto& it) {
+                   const auto& asked = it.batch.shards;
+                   return std::binary_search(asked.begin(), asked.end(), shard);
+               });
+    }
+
+    void cancel_open() {
+        for (const auto& it : std::exchange(open_, {})) {
+            transport_.cancel(it.owner, it.batch);
+        }
+    }
+
+    void finish() {
+        model::search_answer answer{request_.request, request_.searcher, snapshot_, {}, {}};
+        for (const auto& shard : shards_) {
+            const auto it = results_.find(shard);
+            if (it != results_.end()) {
+                merge(it->second, answer);
+            } else if (shared_.policy.report_missing) {
+                const auto reason = ended(shard) ? model::missing_reason::owner_lost
+                                                 : model::missing_reason::timed_out;
+                answer.shards.push_back({shard, reason});
+            }
+        }
+        std::sort(answer.records.begin(), answer.records.end());
+        answer_ = std::move(answer);
+        canary_until_.reset();
+        cancel_open();
+    }
+
+    void merge(const shard_result& result, model::search_answer& answer) const {
+        if (result.reason == model::missing_reason::none) {
             answer.records.insert(answer.records.end(), result.records.begin(),
                                   result.records.end());
         }
+        if (result.reason == model::missing_reason::none || shared_.policy.report_missing) {
+            answer.shards.push_back({result.shard, result.reason});
+        }
     }
 
     const Clock& clock_;
     Transport& transport_;
+    routing_context shared_;
+    Planner& planner_;
     model::search_request request_;
-    model::instance_id owner_;
-    sub_query_batch batch_;
+    query_fingerprint fingerprint_;
+
+    model::pin snapshot_;
+    std::set<model::pin> tried_pins_;
+    std::uint32_t restarts_ = 0;
+    std::vector<group_state> groups_;
+    std::vector<model::shard_ref> shards_;
+    std::map<model::shard_ref, shard_result> results_;
+    std::vector<open_batch> open_;
+    std::uint32_t next_batch_ = 1;
+    std::uint32_t denials_ = 0;
+    /// Set while the rest of the shards waits for the canary.
+    std::optional<kernel::time_point> canary_until_;
+    std::size_t canary_group_ = 0;
+    /// Set while the query waits for a pin that can be served.
+    std::optional<kernel::time_point> restart_until_;
+    kernel::time_point next_poll_;
     std::optional<model::search_answer> answer_;
 };
 
--- /dev/null
+++ b/packages/routing/replica_stats.h
@@ -0,0 +1,205 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "kernel/concepts.h"
+#include "model/identifier.h"
+#include "retry/latency_quantile.h"
+
+namespace poplarfront::routing {
+
+struct replica_stats_options {
+    /// A drain notice is kept this long after it was last heard.
+    kernel::duration drain_lifetime = std::chrono::seconds{60};
+    /// Time in which the weight of a failure, and the excess of an unused latency estimate, fall
+    /// to 1/e.
+    kernel::duration decay = std::chrono::seconds{5};
+    /// A backend server is cold until it has answered this often.
+    std::uint32_t cold_replies = 10;
+    /// Costs that differ by less than this part are a tie.
+    double tie_margin = 0.1;
+};
+
+/// What an owner has observed of each backend server, and the choice among replicas. Not
+/// thread-safe.
+class replica_stats {
+public:
+    explicit replica_stats(replica_stats_options options = {}) : options_(options) {}
+
+    void on_sent(const model::server_id& server) { ++rows_[server].in_flight; }
+
+    /// Ends a request that was answered.
+    void on_answered(const model::server_id& server, kernel::duration latency, double reported_load,
+                     kernel::time_point now) {
+        auto& row = ended(server);
+        row.replies += 1;
+        row.reported_load = reported_load;
+        row.latencies.observe(latency);
+        learn(row, latency, now);
+    }
+
+    /// Ends a request that failed. Its latency is not learned: a refusal is fast.
+    void on_failed(const model::server_id& server, kernel::time_point now) {
+        auto& row = ended(server);
+        row.failures = recent_failures(row, now) + 1;
+        row.failed_at = now;
+        // A backend server that comes back after a loss starts cold.
+        row.replies = 0;
+    }
+
+    /// Ends a request that was cancelled after `elapsed`, which is less than its latency.
+    void on_cancelled(const model::server_id& server, kernel::duration elapsed,
+                      kernel::time_point now) {
+        auto& row = ended(server);
+        if (seconds(elapsed) > row.latency) {
+            learn(row, elapsed, now);
+        }
+    }
+
+    /// Takes the notice that a backend server is leaving.
+    void mark_draining(const model::server_id& server, kernel::time_point now) {
+        rows_[server].draining_until = now + options_.drain_lifetime;
+    }
+
+    [[nodiscard]] bool draining(const model::server_id& server, kernel::time_point now) const {
+        const auto it = rows_.find(server);
+        return it != rows_.end() && now < it->second.draining_until;
+    }
+
+    [[nodiscard]] std::uint32_t in_flight(const model::server_id& server) const {
+        const auto it = rows_.find(server);
+        return it == rows_.end() ? 0 : it->second.in_flight;
+    }
+
+    [[nodiscard]] std::optional<kernel::duration> p95(const model::server_id& server) const {
+        constexpr double fraction = 0.95;
+        const auto it = rows_.find(server);
+        return it == rows_.end() ? std::nullopt : it->second.latencies.quantile(fraction);
+    }
+
+    /// The backend server expected to answer first; absent if there are no candidates.
+    [[nodiscard]] std::optional<model::server_id> choose(
+        std::span<const model::server_id> candidates, kernel::time_point now) {
+        if (candidates.empty()) {
+            return std::nullopt;
+        }
+        const double typical = typical_latency(candidates);
+        ++turn_;
+        const model::server_id* best = nullptr;
+        for (std::size_t it = 0; it < candidates.size(); ++it) {
+            // The start rotates, so that equal replicas share the load.
+            const auto& candidate = candidates[(it + turn_) % candidates.size()];
+            if (best == nullptr || better(candidate, *best, typical, now)) {
+                best = &candidate;
+            }
+        }
+        return *best;
+    }
+
+    /// Forgets backend servers without requests in flight for which `keep` is false.
+    template <std::predicate<const model::server_id&> Keep>
+    void retain(const Keep& keep) {
+        std::erase_if(rows_,
+                      [&](const auto& it) { return it.second.in_flight == 0 && !keep(it.first); });
+    }
+
+private:
+    struct row {
+        std::uint32_t in_flight = 0;
+        std::uint32_t replies = 0;
+        /// Seconds; 0 if nothing is known.
+        double latency = 0;
+        kernel::time_point learned_at;
+        double failures = 0;
+        kernel::time_point failed_at;
+        double reported_load = 0;
+        kernel::time_point draining_until;
+        retry::latency_quantile latencies;
+    };
+
+    static double seconds(kernel::duration span) {
+        return std::chrono::duration<double>(span).count();
+    }
+
+    row& ended(const model::server_id& server) {
+        auto& found = rows_[server];
+        found.in_flight -= found.in_flight > 0 ? 1 : 0;
+        return found;
+    }
+
+    static void learn(row& row, kernel::duration latency, kernel::time_point now) {
+        // Rises are learned faster than falls, so that a straggler is left early.
+        constexpr double rise_weight = 0.5;
+        constexpr double fall_weight = 0.2;
+        const double sample = seconds(latency);
+        const double weight = sample > row.latency ? rise_weight : fall_weight;
+        row.latency = row.latency == 0 ? sample : row.latency + weight * (sample - row.latency);
+        row.learned_at = now;
+    }
+
+    [[nodiscard]] double remaining(kernel::time_point since, kernel::time_point now) const {
+        return std::exp(-seconds(now - since) / seconds(options_.decay));
+    }
+
+    [[nodiscard]] double recent_failures(const row& row, kernel::time_point now) const {
+        return row.failures == 0 ? 0 : row.failures * remaining(row.failed_at, now);
+    }
+
+    /// The lowest known latency of the candidates, in seconds.
+    [[nodiscard]] double typical_latency(std::span<const model::server_id> candidates) const {
+        constexpr double unknown = 0.005;
+        double lowest = 0;
+        for (const auto& candidate : candidates) {
+            const auto it = rows_.find(candidate);
+            const double latency = it == rows_.end() ? 0 : it->second.latency;
+            if (latency > 0 && (lowest == 0 || latency < lowest)) {
+                lowest = latency;
+            }
+        }
+        return lowest == 0 ? unknown : lowest;
+    }
+
+    [[nodiscard]] double cost(const row& row, double typical, kernel::time_point now) const {
+        constexpr double failure_penalty = 4;
+        constexpr double cold_penalty = 2;
+        double latency = row.latency == 0 ? typical : row.latency;
+        if (latency > typical) {
+            // An unused estimate falls back to the typical one, so that a former straggler is
+            // tried again.
+            latency = typical + (latency - typical) * remaining(row.learned_at, now);
+        }
+        const bool cold = row.replies < options_.cold_replies;
+        const double queue = 1 + row.in_flight * (cold ? cold_penalty : 1);
+        return latency * queue * (1 + failure_penalty * recent_failures(row, now));
+    }
+
+    [[nodiscard]] bool better(const model::server_id& left, const model::server_id& right,
+                              double typical, kernel::time_point now) const {
+        const auto& left_row = row_of(left);
+        const auto& right_row = row_of(right);
+        const double left_cost = cost(left_row, typical, now);
+        const double right_cost = cost(right_row, typical, now);
+        if (std::abs(left_cost - right_cost) > options_.tie_margin * right_cost) {
+            return left_cost < right_cost;
+        }
+        return left_row.reported_load < right_row.reported_load;
+    }
+
+    [[nodiscard]] const row& row_of(const model::server_id& server) const {
+        static const row unknown{};
+        const auto it = rows_.find(server);
+        return it == rows_.end() ? unknown : it->second;
+    }
+
+    replica_stats_options options_;
+    std::map<model::server_id, row> rows_;
+    std::size_t turn_ = 0;
+};
+
+}  // namespace poplarfront::routing
--- /dev/null
+++ b/packages/routing/routing_context.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+
+#include "kernel/sources.h"
+#include "retry/backoff.h"
+#include "retry/hedge_policy.h"
+#include "retry/retry_budget.h"
+#include "routing/crash_quarantine.h"
+#include "routing/replica_stats.h"
+#include "snapshot/version_tracker.h"
+
+namespace poplarfront::routing {
+
+/// Sums since the start of a traffic thread.
+struct routing_counters {
+    std::uint64_t primaries = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t retries = 0;
+    /// Extra requests put off because the budget was empty.
+    std::uint64_t budget_denials = 0;
+    /// Replies and results that matched no open attempt or batch.
+    std::uint64_t dropped_replies = 0;
+    std::uint64_t batches = 0;
+    std::uint64_t batch_resends = 0;
+    std::uint64_t restarts = 0;
+    std::uint64_t canaries = 0;
+    friend auto operator<=>(const routing_counters&, const routing_counters&) = default;
+};
+
+/// Rules of the search path. The switches are on in every deployment; tests turn one off to show
+/// that they detect its absence.
+struct routing_policy {
+    /// Attempts per shard and pin, the primary included.
+    std::uint32_t max_attempts = 4;
+    retry::backoff retry_backoff;
+    /// Restarts of one query on another pin.
+    std::uint32_t max_restarts = 3;
+    /// How long a query whose pin cannot be served waits for a newer one, and how often it looks.
+    kernel::duration restart_wait = std::chrono::milliseconds{20};
+    kernel::duration restart_poll = std::chrono::milliseconds{2};
+    /// Shards from which on a query that is not known to be good starts with a canary.
+    std::size_t canary_shards = 8;
+    kernel::duration canary_wait = std::chrono::milliseconds{5};
+    /// Time kept back from the owners, so that a partial result arrives before the deadline; at
+    /// most a tenth of the remaining time.
+    kernel::duration owner_margin = std::chrono::milliseconds{5};
+
+    bool match_identity = true;
+    bool match_version = true;
+    bool report_missing = true;
+    bool avoid_draining = true;
+    bool use_quarantine = true;
+
+    friend auto operator<=>(const routing_policy&, const routing_policy&) = default;
+};
+
+/// The long-lived objects of a traffic thread that its calls and sessions share. All must outlive
+/// them.
+struct routing_context {
+    const routing_policy& policy;
+    replica_stats& replicas;
+    /// For attempts of the owner.
+    retry::retry_budget& attempt_budget;
+    retry::hedge_policy& attempt_hedge;
+    /// For batches of the entry instance.
+    retry::retry_budget& batch_budget;
+    retry::hedge_policy& batch_hedge;
+    crash_quarantine& quarantine;
+    snapshot::version_tracker& versions;
+    routing_counters& counters;
+    kernel::seeded_random_source& random;
+};
+
+}  // namespace poplarfront::routing
--- a/packages/routing/sub_query.h
+++ b/packages/routing/sub_query.h
@@ -30,10 +30,12 @@
     /// The version the records were read at; only if the reason is none.
     model::index_version version;
     std::vector<model::record> records;
-    /// The versions the replicas hold, if the reason is version_unavailable.
+    /// The versions that the replica which replied last holds, if one replied.
     std::optional<model::version_range> versions;
     /// A connection was lost while the sub-query may have been executing.
     bool crash_symptom = false;
+    /// The backend servers to which such connections were lost; sorted.
+    std::vector<model::server_id> crashed;
     friend auto operator<=>(const shard_result&, const shard_result&) = default;
 };
 
