--- a/packages/routing/query_session.h
+++ b/packages/routing/query_session.h
@@ -50,6 +50,7 @@
         open_.erase(it);
         const auto latency = clock_.now() - batch.sent_at;
         shared_.batch_hedge.observe(model::service_id{}, latency);
+        shared_.owners.on_answered(batch.owner);
         for (const auto& shard : result.shards) {
             take(batch, shard);
         }
@@ -147,6 +148,7 @@
         canary_until_.reset();
         for (auto& it : plan.groups) {
             shards_.insert(shards_.end(), it.shards.begin(), it.shards.end());
+            it.owners = shared_.owners.ordered(std::move(it.owners), clock_.now());
             groups_.push_back({std::move(it)});
         }
         std::sort(shards_.begin(), shards_.end());
@@ -270,6 +272,7 @@
         }
         const auto resend_at = now + shared_.batch_hedge.delay(model::service_id{});
         open_.push_back({owner, batch, indexes, now, resend_at});
+        shared_.owners.on_sent(owner);
         transport_.send(owner, batch);
     }
 
@@ -287,6 +290,7 @@
             if (!it.resend_at || now < *it.resend_at) {
                 continue;
             }
+            shared_.owners.on_late(it.owner, now);
             const auto groups = resendable(it);
             if (groups.empty()) {
                 it.resend_at.reset();
@@ -302,7 +306,13 @@
         std::sort(again.begin(), again.end());
         again.erase(std::unique(again.begin(), again.end()), again.end());
         send_groups(again, true);
-        std::erase_if(open_, [](const auto& it) { return it.lost && !it.resend_at; });
+        std::erase_if(open_, [&](const auto& it) {
+            const bool given_up = it.lost && !it.resend_at;
+            if (given_up) {
+                shared_.owners.on_ended(it.owner);
+            }
+            return given_up;
+        });
     }
 
     [[nodiscard]] std::vector<std::size_t> resendable(const open_batch& batch) const {
@@ -439,6 +449,7 @@
 
     void cancel_open() {
         for (const auto& it : std::exchange(open_, {})) {
+            shared_.owners.on_ended(it.owner);
             transport_.cancel(it.owner, it.batch);
         }
     }
@@ -450,9 +461,7 @@
             if (it != results_.end()) {
                 merge(it->second, answer);
             } else if (shared_.policy.report_missing) {
-                const auto reason = ended(shard) ? model::missing_reason::owner_lost
-                                                 : model::missing_reason::timed_out;
-                answer.shards.push_back({shard, reason});
+                answer.shards.push_back({shard, reason_without_result(shard)});
             }
         }
         std::sort(answer.records.begin(), answer.records.end());
@@ -461,6 +470,11 @@
         cancel_open();
     }
 
+    [[nodiscard]] model::missing_reason reason_without_result(const model::shard_ref& shard) const {
+        const bool timed_out = !ended(shard) || clock_.now() >= request_.deadline;
+        return timed_out ? model::missing_reason::timed_out : model::missing_reason::owner_lost;
+    }
+
     void merge(const shard_result& result, model::search_answer& answer) const {
         if (result.reason == model::missing_reason::none) {
             answer.records.insert(answer.records.end(), result.records.begin(),
--- a/packages/routing/routing_context.h
+++ b/packages/routing/routing_context.h
@@ -7,6 +7,7 @@
 #include "retry/hedge_policy.h"
 #include "retry/retry_budget.h"
 #include "routing/crash_quarantine.h"
+#include "routing/owner_stats.h"
 #include "routing/replica_stats.h"
 #include "snapshot/version_tracker.h"
 
@@ -63,6 +64,7 @@
     /// For attempts of the owner.
     retry::retry_budget& attempt_budget;
     retry::hedge_policy& attempt_hedge;
+    owner_stats& owners;
     /// For batches of the entry instance.
     retry::retry_budget& batch_budget;
     retry::hedge_policy& batch_hedge;
--- a/packages/routing/shard_call.h
+++ b/packages/routing/shard_call.h
@@ -211,15 +211,18 @@
     void retry() {
         const auto now = clock_.now();
         retry_at_.reset();
-        const auto server = sent_count_ < shared_.policy.max_attempts
-                                ? choose_replica()
-                                : std::optional<model::server_id>{};
-        if (!server) {
+        const auto server = next_replica();
+        if (!server || (pin_refused() && !may_hold_pin(*server))) {
             finish_if_nothing_open();
             return;
         }
         if (!may_send_after_crash(now) || !shared_.attempt_budget.try_take(now)) {
             ++shared_.counters.budget_denials;
+            if (pin_refused()) {
+                // The entry instance can restart on another pin sooner than the budget recovers.
+                finish_if_nothing_open();
+                return;
+            }
             retry_at_ = now + shared_.policy.retry_backoff.delay(denials_++, shared_.random);
             return;
         }
@@ -243,9 +246,7 @@
         if (suspected) {
             return;
         }
-        const auto server = sent_count_ < shared_.policy.max_attempts
-                                ? choose_replica()
-                                : std::optional<model::server_id>{};
+        const auto server = next_replica();
         if (!server) {
             hedge_at_.reset();
             return;
@@ -259,6 +260,20 @@
         send(*server);
     }
 
+    [[nodiscard]] bool pin_refused() const {
+        return last_reason_ == model::missing_reason::version_unavailable;
+    }
+
+    [[nodiscard]] bool may_hold_pin(const model::server_id& server) const {
+        const auto held = shared_.versions.held_by(server);
+        return !held || held->contains(next_.snapshot.version);
+    }
+
+    /// The replica for another attempt, if there may be one.
+    std::optional<model::server_id> next_replica() {
+        return sent_count_ < shared_.policy.max_attempts ? choose_replica() : std::nullopt;
+    }
+
     /// A replica that was not tried for this shard and may take new work.
     std::optional<model::server_id> choose_replica() {
         const auto now = clock_.now();
@@ -278,8 +293,7 @@
     void prefer_holders(std::vector<model::server_id>& candidates) const {
         std::vector<model::server_id> holders;
         for (const auto& it : candidates) {
-            const auto held = shared_.versions.held_by(it);
-            if (!held || held->contains(next_.snapshot.version)) {
+            if (may_hold_pin(it)) {
                 holders.push_back(it);
             }
         }
--- a/packages/snapshot/version_tracker.h
+++ b/packages/snapshot/version_tracker.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -39,21 +41,23 @@
     }
 
     /// The newest version that at least one replica of every shard is believed to serve. Shards
-    /// about which nothing is known do not limit the choice. Absent if nothing is known, or if no
-    /// version is common to all shards.
+    /// about which nothing is known do not limit the choice. If no version is common to all shards,
+    /// the one that most shards serve: what is known of a shard that has not replied for some time
+    /// is out of date, and must not hold the others back. Absent if nothing is known.
     [[nodiscard]] std::optional<model::index_version> choose(
         const model::shard_map& map, std::span<const model::shard_ref> shards) const {
-        std::vector<std::vector<model::version_range>> known;
+        std::vector<ranges> known;
         for (const auto& shard : shards) {
-            auto ranges = ranges_of(map, shard);
-            if (!ranges.empty()) {
-                known.push_back(std::move(ranges));
+            auto held = ranges_of(map, shard);
+            if (!held.empty()) {
+                known.push_back(std::move(held));
             }
         }
         if (known.empty()) {
             return std::nullopt;
         }
-        return newest_common(known);
+        const auto common = newest_common(known);
+        return common ? common : most_served(known);
     }
 
 private:
@@ -106,6 +110,31 @@
         return candidate;
     }
 
+    static std::optional<model::index_version> most_served(const std::vector<ranges>& known) {
+        std::optional<model::index_version> best;
+        std::ptrdiff_t most = 0;
+        for (const auto candidate : newest_versions(known)) {
+            const auto served = std::count_if(known.begin(), known.end(), [&](const auto& held) {
+                return newest_up_to(held, candidate) == candidate;
+            });
+            if (served >= most) {
+                most = served;
+                best = candidate;
+            }
+        }
+        return best;
+    }
+
+    static std::set<model::index_version> newest_versions(const std::vector<ranges>& known) {
+        std::set<model::index_version> versions;
+        for (const auto& held : known) {
+            for (const auto& it : held) {
+                versions.insert(it.newest);
+            }
+        }
+        return versions;
+    }
+
     std::map<model::server_id, model::version_range> servers_;
     std::map<model::shard_ref, model::version_range> shards_;
 };
