--- a/packages/wire/configuration_codec.h
+++ b/packages/wire/configuration_codec.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "configuration/announcement.h"
+#include "configuration/codec.h"
+#include "configuration/configuration_status.h"
 #include "configuration/delta.h"
 #include "configuration/head.h"
 #include "kernel/result.h"
@@ -21,4 +25,21 @@
 [[nodiscard]] std::string encode_delta(const configuration::delta& delta);
 kernel::result<configuration::delta> decode_delta(std::string_view bytes);
 
+/// The body of POST /v1/config/announce.
+[[nodiscard]] std::string encode_announcement(const configuration::announcement& announcement);
+kernel::result<configuration::announcement> decode_announcement(std::string_view bytes);
+
+/// The body of GET /v1/config/status, as JSON.
+[[nodiscard]] std::string encode_status(const configuration::configuration_status& status);
+kernel::result<configuration::configuration_status> decode_status(std::string_view body);
+
+/// The representation of the configuration in the store.
+struct configuration_store_codec {
+    [[nodiscard]] std::string encode(const configuration::head& head) const;
+    [[nodiscard]] std::string encode(const configuration::section_blob& blob) const;
+    [[nodiscard]] std::optional<configuration::head> head(std::string_view bytes) const;
+    [[nodiscard]] std::optional<configuration::section_blob> blob(std::string_view bytes) const;
+};
+static_assert(configuration::store_codec<configuration_store_codec>);
+
 }  // namespace poplarfront::wire
--- a/packages/wire/internal/configuration_codec.cpp
+++ b/packages/wire/internal/configuration_codec.cpp
@@ -1,6 +1,9 @@
 #include "wire/configuration_codec.h"
 
+#include <limits>
+
 #include "wire/generated/configuration.pb.h"
+#include "wire/internal/json_fields.h"
 
 namespace poplarfront::wire {
 namespace {
@@ -77,6 +80,18 @@
     return head;
 }
 
+/// The value, or nothing if the bytes were refused.
+template <class T>
+std::optional<T> value_or_nothing(kernel::result<T> (*decode)(std::string_view),
+                                  std::string_view bytes) {
+    return kernel::handle<wire_error>(
+        [&]() -> kernel::result<std::optional<T>> {
+            BOOST_LEAF_AUTO(value, decode(bytes));
+            return std::optional<T>{std::move(value)};
+        },
+        [](const wire_error&) { return std::optional<T>{}; });
+}
+
 template <class Message>
 kernel::result<Message> parse(std::string_view bytes) {
     Message message;
@@ -131,4 +146,72 @@
     return from_proto(message);
 }
 
+std::string encode_announcement(const configuration::announcement& announcement) {
+    proto::Announcement message;
+    to_proto(announcement.accepted, *message.mutable_head());
+    for (const auto& [name, text] : announcement.texts) {
+        auto& section = *message.add_sections();
+        section.set_name(name);
+        section.set_revision(announcement.accepted.section(name).revision.value);
+        section.set_text(text);
+    }
+    return message.SerializeAsString();
+}
+
+kernel::result<configuration::announcement> decode_announcement(std::string_view bytes) {
+    BOOST_LEAF_AUTO(message, parse<proto::Announcement>(bytes));
+    BOOST_LEAF_AUTO(head, from_proto(message.head()));
+    configuration::section_texts texts;
+    for (const auto& section : message.sections()) {
+        texts.insert_or_assign(section.name(), section.text());
+    }
+    return configuration::announcement{std::move(head), std::move(texts)};
+}
+
+std::string encode_status(const configuration::configuration_status& status) {
+    boost::json::object sections;
+    for (const auto& [name, revision] : status.sections) {
+        sections[name] = revision.value;
+    }
+    return boost::json::serialize(boost::json::object{{"instance", status.instance.text()},
+                                                      {"revision", status.revision.value},
+                                                      {"sections", std::move(sections)}});
+}
+
+kernel::result<configuration::configuration_status> decode_status(std::string_view body) {
+    constexpr auto largest = std::numeric_limits<std::int64_t>::max();
+    BOOST_LEAF_AUTO(object, internal::parse_object(body));
+    BOOST_LEAF_AUTO(instance, internal::identifier_field<model::instance_id>(object, "instance"));
+    BOOST_LEAF_AUTO(revision, internal::integer_field(object, "revision", 0, largest));
+    configuration::configuration_status status{
+        std::move(instance), {static_cast<std::uint64_t>(revision)}, {}};
+    const auto* sections = object.if_contains("sections");
+    if (sections == nullptr || !sections->is_object()) {
+        return boost::leaf::new_error(wire_error{"sections", "must be an object"});
+    }
+    for (const auto& it : sections->get_object()) {
+        const std::string name{it.key()};
+        BOOST_LEAF_AUTO(n, internal::integer_field(sections->get_object(), name, 0, largest));
+        status.sections.insert_or_assign(name, model::revision{static_cast<std::uint64_t>(n)});
+    }
+    return status;
+}
+
+std::string configuration_store_codec::encode(const configuration::head& head) const {
+    return encode_head(head);
+}
+
+std::string configuration_store_codec::encode(const configuration::section_blob& blob) const {
+    return encode_blob(blob);
+}
+
+std::optional<configuration::head> configuration_store_codec::head(std::string_view bytes) const {
+    return value_or_nothing(decode_head, bytes);
+}
+
+std::optional<configuration::section_blob> configuration_store_codec::blob(
+    std::string_view bytes) const {
+    return value_or_nothing(decode_blob, bytes);
+}
+
 }  // namespace poplarfront::wire
--- a/packages/wire/tests/configuration_codec_test.cpp
+++ b/packages/wire/tests/configuration_codec_test.cpp
@@ -23,6 +23,19 @@
     CHECK(decode_delta(encode_delta(delta)).value() == delta);
 }
 
+TEST_CASE("an announcement and a status survive encoding and malformed ones are refused") {
+    const configuration::announcement announced{sample_head(), {{"shards", "[h]\nk=v\n"}}};
+    CHECK(decode_announcement(encode_announcement(announced)).value() == announced);
+    CHECK_FALSE(decode_announcement("x"));
+
+    const configuration::configuration_status status{
+        model::instance_id::trusted("i-1"), {9}, {{"shards", {7}}, {"policy", {9}}}};
+    CHECK(decode_status(encode_status(status)).value() == status);
+    CHECK_FALSE(decode_status(R"({"instance":"i-1","revision":-1,"sections":{}})"));
+    CHECK_FALSE(decode_status(R"({"instance":"i-1","revision":1,"sections":{"shards":"x"}})"));
+    CHECK_FALSE(decode_status(R"({"instance":"i-1","revision":1})"));
+}
+
 TEST_CASE("truncated and inconsistent bytes are refused") {
     const auto bytes = encode_head(sample_head());
     CHECK_FALSE(decode_head(bytes.substr(0, bytes.size() - 1)));
