--- a/packages/configuration/head.h
+++ b/packages/configuration/head.h
@@ -58,11 +58,16 @@
     [[nodiscard]] bool has_nonce(std::string_view nonce) const;
     /// The head after `name` has changed. `next.revision` is set to the new document revision.
     [[nodiscard]] head accept(const std::string& name, section_head next, delta change) const;
-    /// What a peer that has `known` needs: only later changes, no store keys and no nonces.
+    /// What a peer that has `known` needs, without store keys and nonces. The changes of a section
+    /// are left out if some that the peer needs are no longer kept.
     [[nodiscard]] head since(model::revision known) const;
     friend auto operator<=>(const head&, const head&) = default;
 };
 
+/// The latest changes of both lists within max_recent_bytes, oldest first.
+[[nodiscard]] std::vector<accepted_change> merge_recent(const std::vector<accepted_change>& known,
+                                                        const std::vector<accepted_change>& later);
+
 /// A part of a section's canonical text as the store keeps it.
 struct section_blob {
     model::deployment_id deployment;
--- a/packages/configuration/internal/head.cpp
+++ b/packages/configuration/internal/head.cpp
@@ -21,6 +21,22 @@
 
 }  // namespace
 
+std::vector<accepted_change> merge_recent(const std::vector<accepted_change>& known,
+                                          const std::vector<accepted_change>& later) {
+    std::map<model::revision, accepted_change> by_revision;
+    for (const auto* changes : {&known, &later}) {
+        for (const auto& change : *changes) {
+            by_revision.emplace(change.revision, change);
+        }
+    }
+    std::vector<accepted_change> merged;
+    for (auto& [revision, change] : by_revision) {
+        merged.push_back(std::move(change));
+    }
+    drop_oldest_beyond_bound(merged);
+    return merged;
+}
+
 section_head head::section(std::string_view name) const {
     const auto it = sections.find(name);
     return it == sections.end() ? section_head{} : it->second;
@@ -50,8 +66,16 @@
     for (const auto& [name, section] : sections) {
         result.sections.emplace(name, section_head{section.revision, {}, section.digest, {}});
     }
-    std::copy_if(recent.begin(), recent.end(), std::back_inserter(result.recent),
-                 [&](const auto& change) { return change.revision > known; });
+    std::map<std::string, bool, std::less<>> reaches_known;
+    for (const auto& change : recent) {
+        if (change.revision <= known) {
+            continue;
+        }
+        const auto it = reaches_known.try_emplace(change.section, change.previous <= known).first;
+        if (it->second) {
+            result.recent.push_back(change);
+        }
+    }
     return result;
 }
 
