--- a/packages/membership/internal/member_rows.cpp
+++ b/packages/membership/internal/member_rows.cpp
@@ -36,8 +36,8 @@
     if (it != rows_.end()) {
         return merge_known(it->second, update);
     }
-    // A row that was purged here must not come back from an instance that purges it later.
-    if (update.status == instance_status::failed) {
+    // A row that was purged here must not come back from an instance that still doubts it.
+    if (update.status == instance_status::failed || update.status == instance_status::suspect) {
         return merge_outcome::unchanged;
     }
     rows_.emplace(update.instance, row{update, update.status == instance_status::leaving, {}});
--- a/packages/membership/member_table.h
+++ b/packages/membership/member_table.h
@@ -47,8 +47,14 @@
         next_token_ = now + options_.push_refill;
     }
 
-    /// Tells some peers at once that this instance is there. Call it after the first list.
-    void announce() { push_now(); }
+    /// Tells some peers at once that this instance is there; their replies tell which instances
+    /// are leaving. Call it after the first list.
+    void announce() {
+        for (const auto& to :
+             random_rows(rows_.reachable(), options_.push_fanout, self_.instance)) {
+            transport_.send_gossip(to, next_header(), build(to, {}));
+        }
+    }
 
     /// Takes the platform's list, which lags: it adds unknown instances and removes those that it
     /// dropped and that do not answer.
@@ -95,6 +101,9 @@
     }
 
     void on_gossip(const message_header& header, const gossip_message& message) {
+        const auto* known = rows_.find(header.sender);
+        const bool started = known == nullptr || process_start(known->info.start) !=
+                                                     process_start(header.sender_incarnation);
         const bool fresh = receive(header);
         if (fresh) {
             take_news(message);
@@ -105,7 +114,8 @@
         }
         const auto reply = next_header(header.message_id);
         if (fresh) {
-            transport_.send_gossip_reply(from->info, reply, build(from->info, message.table_size));
+            const auto news = build(from->info, {message.table_size, started});
+            transport_.send_gossip_reply(from->info, reply, news);
         } else {
             // The older process learns that it was replaced.
             transport_.send_gossip_reply(from->info, reply, {size(), {self_, from->info}, {}, {}});
@@ -217,9 +227,17 @@
         message_header requester;
     };
 
+    /// What is known of the receiver of a message.
+    struct receiver_state {
+        /// The size of its table, 0 if it is not known.
+        std::uint32_t table_size = 0;
+        /// It started since it was last heard of, so it missed who has gone.
+        bool started = false;
+    };
+
     // A timer this late means that the process was paused; silence in that time proves nothing.
     static constexpr kernel::duration pause_limit = std::chrono::milliseconds{300};
-    static constexpr kernel::duration removed_kept = std::chrono::minutes{1};
+    static constexpr kernel::duration removed_kept = std::chrono::minutes{10};
     static constexpr std::chrono::milliseconds max_draining_time = std::chrono::minutes{10};
     // A notice gains the transit time on each hop; only a clearly later end is a new notice.
     static constexpr kernel::duration draining_renewal = std::chrono::seconds{5};
@@ -358,7 +376,7 @@
             row_changed(id);
         }
         suspicions_.try_emplace(id, clock_.now() + options_.suspicion);
-        transport_.send_gossip_reply(known->info, next_header(), build(known->info, 0));
+        transport_.send_gossip_reply(known->info, next_header(), build(known->info, {}));
     }
 
     void take_entry(const platform_entry& entry) {
@@ -442,7 +460,7 @@
         for (const auto& to :
              random_rows(rows_.reachable(), options_.push_fanout, self_.instance)) {
             ++counters_.pushes;
-            transport_.send_gossip_reply(to, next_header(), build(to, 0));
+            transport_.send_gossip_reply(to, next_header(), build(to, {}));
         }
     }
 
@@ -473,7 +491,7 @@
         ++exchanges_;
         if (options_.reconnect_every > 0 && exchanges_ % options_.reconnect_every == 0) {
             for (const auto& to : random_rows(rows_.failed(), 1, self_.instance)) {
-                transport_.send_gossip(to, next_header(), build(to, 0));
+                transport_.send_gossip(to, next_header(), build(to, {}));
             }
         }
     }
@@ -484,7 +502,7 @@
         const auto step = requester.sender.empty() ? stage::direct : stage::mediated;
         pending_.push_back(
             {header.message_id, to.instance, clock_.now() + options_.reply_limit, step, requester});
-        transport_.send_gossip(to, header, build(to, 0));
+        transport_.send_gossip(to, header, build(to, {}));
     }
 
     void answer_probe(const pending& probe, bool reached) {
@@ -552,9 +570,8 @@
         return options_.spread_factor * log;
     }
 
-    /// The news for one peer, within the size limit. `peer_size` is the size of its table, 0 if it
-    /// is not known.
-    gossip_message build(const model::instance_info& to, std::uint32_t peer_size) {
+    /// The news for one peer, within the size limit.
+    gossip_message build(const model::instance_info& to, receiver_state receiver) {
         gossip_message message;
         message.table_size = size();
         std::size_t used = encoded_bound(self_);
@@ -581,13 +598,17 @@
         if (peer != nullptr && peer->info.status != model::instance_status::alive) {
             add(peer->info);
         }
+        if (receiver.started) {
+            add_not_working(add);
+        }
         add_notices(message, fits);
         news_.take(send_limit(), [&](const auto& id) {
             const auto* row = rows_.find(id);
             return row == nullptr || add(row->info);
         });
-        const bool peer_lacks_rows = peer_size > 0 && peer_size + peer_size / 16 < rows_.size();
-        add_refresh(peer_lacks_rows ? options_.max_message_bytes : options_.refresh_rows, add);
+        const auto lacking = receiver.table_size + receiver.table_size / 16 < rows_.size();
+        const bool fill = receiver.table_size > 0 && lacking;
+        add_refresh(fill ? options_.max_message_bytes : options_.refresh_rows, add);
         return message;
     }
 
@@ -616,6 +637,25 @@
         });
     }
 
+    /// Rows that the lagging platform's list may still show as alive: all leaving ones, then the
+    /// failed ones, the latest first.
+    template <class Add>
+    void add_not_working(Add add) {
+        for (const auto* row : rows_.reachable()) {
+            if (row->info.status == model::instance_status::leaving && !add(row->info)) {
+                return;
+            }
+        }
+        auto failed = rows_.failed();
+        std::sort(failed.begin(), failed.end(),
+                  [](const auto* a, const auto* b) { return a->purge_at > b->purge_at; });
+        for (const auto* row : failed) {
+            if (!add(row->info)) {
+                return;
+            }
+        }
+    }
+
     template <class Add>
     void add_refresh(std::size_t count, Add add) {
         const auto& rows = rows_.reachable();
--- a/packages/membership/tests/member_table_test.cpp
+++ b/packages/membership/tests/member_table_test.cpp
@@ -268,11 +268,26 @@
     f.table.on_platform_list({listed});
     CHECK(f.status("p0") == instance_status::alive);
     CHECK(f.status("p1") == instance_status::failed);
-    f.advance(65s, true);
+    f.advance(605s, true);
     f.status("p0");
     CHECK(f.view.find(instance_id::trusted("p1")) == nullptr);
 }
 
+TEST_CASE("an instance that starts is told who has gone, since the list may still show them") {
+    fixture f{3};
+    f.tell("p0", {row("p0", one_start, instance_status::leaving)});
+    f.tell("p1", {row("p1"), row("p2", one_start, instance_status::suspect)});
+    f.tell("p1", {row("p1"), row("p2", one_start, instance_status::failed)});
+    f.advance(200s, true);
+    f.transport.sent.clear();
+    f.table.on_gossip({instance_id::trusted("new"), {one_start}, 1, 0}, {1, {row("new")}, {}, {}});
+    const auto& told = f.transport.sent.front().gossip.members;
+    for (const auto& gone : {row("p0", one_start, instance_status::leaving),
+                             row("p2", one_start, instance_status::failed)}) {
+        CHECK(std::find(told.begin(), told.end(), gone) != told.end());
+    }
+}
+
 TEST_CASE("a leaving entry of the lagging list does not touch a later process of that name") {
     fixture f{1};
     f.tell("p0", {row("p0", 2 * one_start)});
@@ -286,13 +301,16 @@
     member_options options;
     options.failed_kept = 10s;
     fixture f{1, options};
-    f.tell("x", {row("x", one_start, instance_status::suspect)});
+    f.tell("x", {row("x")});
+    f.tell("p0", {row("p0"), row("x", one_start, instance_status::suspect)});
     f.tell("p0", {row("p0"), row("x", one_start, instance_status::failed)});
     CHECK(f.status("x") == instance_status::failed);
     f.advance(12s, true);
-    f.tell("p0", {row("p0"), row("x", one_start, instance_status::failed)});
-    f.status("p0");
-    CHECK(f.view.find(instance_id::trusted("x")) == nullptr);
+    for (const auto doubt : {instance_status::suspect, instance_status::failed}) {
+        f.tell("p0", {row("p0"), row("x", one_start, doubt)});
+        f.status("p0");
+        CHECK(f.view.find(instance_id::trusted("x")) == nullptr);
+    }
 }
 
 TEST_CASE("failed rows above the limit are purged, so that memory stays bounded") {
@@ -301,7 +319,8 @@
     fixture f{1, options};
     for (int n = 0; n < 50; ++n) {
         const auto name = "x" + std::to_string(n);
-        f.tell(name, {row(name, one_start, instance_status::suspect)});
+        f.tell(name, {row(name)});
+        f.tell("p0", {row("p0"), row(name, one_start, instance_status::suspect)});
         f.tell("p0", {row("p0"), row(name, one_start, instance_status::failed)});
     }
     f.advance(2s, true);
