Add the gossip codec

Cause: membership messages go between instances as protobuf Gossip.

Change: gossip_codec converts gossip_message to and from Gossip and refuses truncated bytes, invalid identifiers, unknown statuses and overlong addresses.

--- /dev/null
+++ b/packages/wire/gossip_codec.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "kernel/result.h"
+#include "membership/gossip_message.h"
+#include "wire/wire_error.h"
+
+namespace poplarfront::wire {
+
+namespace proto {
+class Gossip;
+class MemberUpdate;
+}  // namespace proto
+
+/// Sets the membership fields of a protobuf message; its other fields stay as they are.
+void set_gossip(const membership::gossip_message& gossip, proto::Gossip& message);
+
+/// Errors: wire_error with the field that holds an invalid identifier or status.
+kernel::result<membership::gossip_message> get_gossip(const proto::Gossip& message);
+
+/// The body of a `gossip` or `gossip_reply` without configuration.
+std::string encode_gossip(const membership::gossip_message& gossip);
+
+/// Errors: wire_error, without a field if the bytes are truncated or malformed.
+kernel::result<membership::gossip_message> decode_gossip(std::string_view bytes);
+
+}  // namespace poplarfront::wire
--- /dev/null
+++ b/packages/wire/internal/gossip_codec.cpp
@@ -0,0 +1,99 @@
+#include "wire/gossip_codec.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "wire/generated/peer.pb.h"
+
+namespace poplarfront::wire {
+namespace {
+
+// Longer than any IP:PORT, so that a peer cannot make the table grow without bound.
+constexpr std::size_t max_address_length = 64;
+
+template <class Identifier>
+kernel::result<Identifier> checked(const std::string& text, const char* field) {
+    if (!model::is_identifier(text)) {
+        return boost::leaf::new_error(wire_error{field, "is not a valid identifier"});
+    }
+    return Identifier::trusted(text);
+}
+
+void set_member(const model::instance_info& row, proto::MemberUpdate& update) {
+    update.set_instance(row.instance.text());
+    update.set_data_centre(row.data_centre.text());
+    update.set_peer_address(row.peer_address);
+    update.set_incarnation(row.start.value);
+    update.set_status(static_cast<std::uint32_t>(row.status));
+}
+
+kernel::result<model::instance_info> get_member(const proto::MemberUpdate& update) {
+    BOOST_LEAF_AUTO(instance, checked<model::instance_id>(update.instance(), "instance"));
+    BOOST_LEAF_AUTO(data_centre,
+                    checked<model::data_centre_id>(update.data_centre(), "data_centre"));
+    if (update.status() > static_cast<std::uint32_t>(model::instance_status::failed)) {
+        return boost::leaf::new_error(wire_error{"status", "is not known"});
+    }
+    if (update.peer_address().size() > max_address_length) {
+        return boost::leaf::new_error(wire_error{"peer_address", "is too long"});
+    }
+    return model::instance_info{std::move(instance),
+                                std::move(data_centre),
+                                update.peer_address(),
+                                {update.incarnation()},
+                                static_cast<model::instance_status>(update.status())};
+}
+
+std::uint32_t to_uint32(std::chrono::milliseconds time) {
+    constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, most));
+}
+
+}  // namespace
+
+void set_gossip(const membership::gossip_message& gossip, proto::Gossip& message) {
+    message.set_table_size(gossip.table_size);
+    for (const auto& row : gossip.members) {
+        set_member(row, *message.add_members());
+    }
+    for (const auto& notice : gossip.draining) {
+        auto& draining = *message.add_draining();
+        draining.set_server(notice.server.text());
+        draining.set_remaining_ms(to_uint32(notice.remaining));
+    }
+    for (const auto fingerprint : gossip.quarantined) {
+        message.add_quarantined(fingerprint);
+    }
+}
+
+kernel::result<membership::gossip_message> get_gossip(const proto::Gossip& message) {
+    membership::gossip_message gossip{message.table_size(), {}, {}, {}};
+    for (const auto& update : message.members()) {
+        BOOST_LEAF_AUTO(row, get_member(update));
+        gossip.members.push_back(std::move(row));
+    }
+    for (const auto& it : message.draining()) {
+        BOOST_LEAF_AUTO(server, checked<model::server_id>(it.server(), "server"));
+        gossip.draining.push_back(
+            {std::move(server), std::chrono::milliseconds{it.remaining_ms()}});
+    }
+    gossip.quarantined.assign(message.quarantined().begin(), message.quarantined().end());
+    return gossip;
+}
+
+std::string encode_gossip(const membership::gossip_message& gossip) {
+    proto::Gossip message;
+    set_gossip(gossip, message);
+    return message.SerializeAsString();
+}
+
+kernel::result<membership::gossip_message> decode_gossip(std::string_view bytes) {
+    proto::Gossip message;
+    if (bytes.size() > static_cast<std::size_t>(std::numeric_limits<int>::max()) ||
+        !message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return boost::leaf::new_error(wire_error{"", "is not a gossip message"});
+    }
+    return get_gossip(message);
+}
+
+}  // namespace poplarfront::wire
