Split notices and the push allowance from member_table

Change: shared_notices keeps draining backend servers and quarantined fingerprints; push_limit bounds how often urgent news is pushed. No change of behaviour.

--- a/packages/membership/member_table.h
+++ b/packages/membership/member_table.h
@@ -12,6 +12,8 @@
 #include "membership/member_options.h"
 #include "membership/member_rows.h"
 #include "membership/peer_transport.h"
+#include "membership/push_limit.h"
+#include "membership/shared_notices.h"
 #include "membership/spread_queue.h"
 
 namespace poplarfront::membership {
@@ -39,12 +41,11 @@
           transport_(transport),
           options_(options),
           self_(std::move(self)),
-          push_tokens_(options.push_burst) {
-        const auto now = clock_.now();
+          notices_(options_),
+          push_limit_(options_.push_burst, options_.push_refill, clock_.now()) {
         const auto period = static_cast<std::uint64_t>(options_.exchange_period.count());
         const auto phase = kernel::uniform_below(random_, period);
-        next_exchange_ = now + kernel::duration{static_cast<kernel::duration::rep>(phase)};
-        next_token_ = now + options_.push_refill;
+        next_exchange_ = clock_.now() + kernel::duration{static_cast<kernel::duration::rep>(phase)};
     }
 
     /// Tells some peers at once that this instance is there; their replies tell which instances
@@ -147,7 +148,7 @@
 
     /// This instance saw a backend server draining. The notice is valid for `valid`.
     void report_draining(const model::server_id& server, kernel::duration valid) {
-        add_draining(server, std::chrono::duration_cast<std::chrono::milliseconds>(valid));
+        add_draining({server, std::chrono::duration_cast<std::chrono::milliseconds>(valid)});
     }
 
     void report_quarantined(std::uint64_t fingerprint) { add_quarantined(fingerprint); }
@@ -194,19 +195,12 @@
 
     /// The backend servers seen draining, sorted, if they changed since the last call.
     [[nodiscard]] std::optional<std::vector<model::server_id>> take_changed_draining() {
-        if (!std::exchange(draining_changed_, false)) {
-            return std::nullopt;
-        }
-        std::vector<model::server_id> servers;
-        for (const auto& [server, until] : draining_) {
-            servers.push_back(server);
-        }
-        return servers;
+        return notices_.take_changed_draining();
     }
 
     /// The fingerprints heard since the last call.
     [[nodiscard]] std::vector<std::uint64_t> take_new_quarantined() {
-        return std::exchange(new_quarantined_, {});
+        return notices_.take_new_quarantined();
     }
 
     [[nodiscard]] const model::instance_info& self() const { return self_; }
@@ -219,7 +213,6 @@
 
     /// An exchange without a reply yet.
     struct pending {
-        std::uint64_t message_id = 0;
         model::instance_id peer;
         kernel::time_point deadline;
         stage step = stage::direct;
@@ -238,11 +231,6 @@
     // A timer this late means that the process was paused; silence in that time proves nothing.
     static constexpr kernel::duration pause_limit = std::chrono::milliseconds{300};
     static constexpr kernel::duration removed_kept = std::chrono::minutes{10};
-    static constexpr std::chrono::milliseconds max_draining_time = std::chrono::minutes{10};
-    // A notice gains the transit time on each hop; only a clearly later end is a new notice.
-    static constexpr kernel::duration draining_renewal = std::chrono::seconds{5};
-    static constexpr std::size_t draining_bytes = 12;
-    static constexpr std::size_t quarantined_bytes = 9;
 
     static bool answers(const member_rows::row& row) {
         return row.info.status == model::instance_status::alive;
@@ -288,7 +276,7 @@
             take_update(it);
         }
         for (const auto& it : message.draining) {
-            add_draining(it.server, it.remaining);
+            add_draining(it);
         }
         for (const auto fingerprint : message.quarantined) {
             add_quarantined(fingerprint);
@@ -326,7 +314,7 @@
             ++counters_.refutations;
             self_.start = update.start.next();
             view_changed_ = true;
-            spread(self_.instance, true);
+            spread(self_.instance);
         }
     }
 
@@ -346,7 +334,7 @@
             rows_.set_purge(id, clock_.now() + options_.failed_kept);
         }
         view_changed_ = true;
-        spread(id, true);
+        spread(id);
     }
 
     void mark_leaving(const model::instance_id& id) {
@@ -354,7 +342,7 @@
         if (known != nullptr && known->info.status != model::instance_status::failed &&
             rows_.set_status(id, model::instance_status::leaving)) {
             view_changed_ = true;
-            spread(id, true);
+            spread(id);
         }
     }
 
@@ -400,40 +388,21 @@
         }
     }
 
-    void add_draining(const model::server_id& server, std::chrono::milliseconds remaining) {
-        const auto until = clock_.now() + std::min(remaining, max_draining_time);
-        const auto it = draining_.find(server);
-        const bool known = it != draining_.end();
-        if (remaining.count() <= 0 || (known && until < it->second + draining_renewal) ||
-            (!known && draining_.size() >= options_.max_draining)) {
-            return;
+    void add_draining(const draining_notice& notice) {
+        if (notices_.add_draining(notice, clock_.now())) {
+            schedule_push();
         }
-        draining_changed_ = draining_changed_ || !known;
-        draining_[server] = until;
-        draining_news_.push(server);
-        schedule_push();
     }
 
     void add_quarantined(std::uint64_t fingerprint) {
-        if (!quarantined_.insert(fingerprint).second) {
-            return;
-        }
-        quarantined_order_.push_back(fingerprint);
-        if (quarantined_order_.size() > options_.max_quarantined) {
-            quarantined_.erase(quarantined_order_.front());
-            quarantined_news_.erase(quarantined_order_.front());
-            quarantined_order_.erase(quarantined_order_.begin());
+        if (notices_.add_quarantined(fingerprint)) {
+            schedule_push();
         }
-        new_quarantined_.push_back(fingerprint);
-        quarantined_news_.push(fingerprint);
-        schedule_push();
     }
 
-    void spread(const model::instance_id& id, bool urgent) {
+    void spread(const model::instance_id& id) {
         news_.push(id);
-        if (urgent) {
-            schedule_push();
-        }
+        schedule_push();
     }
 
     void schedule_push() {
@@ -443,16 +412,11 @@
     }
 
     void push_if_allowed(kernel::time_point now) {
-        while (next_token_ <= now) {
-            push_tokens_ = std::min(push_tokens_ + 1, options_.push_burst);
-            next_token_ += options_.push_refill;
-        }
-        if (push_tokens_ == 0) {
-            push_at_ = next_token_;
-            return;
+        if (push_limit_.take(now)) {
+            push_now();
+        } else {
+            push_at_ = push_limit_.next();
         }
-        --push_tokens_;
-        push_now();
     }
 
     void push_now() {
@@ -482,9 +446,7 @@
 
     void exchange(kernel::time_point now) {
         view_changed_ = rows_.purge(now, options_.max_failed_rows) || view_changed_;
-        const auto ended =
-            std::erase_if(draining_, [&](const auto& it) { return it.second <= now; });
-        draining_changed_ = draining_changed_ || ended > 0;
+        notices_.expire(now);
         for (const auto& to : random_rows(rows_.reachable(), 1, self_.instance)) {
             send_exchange(to, {});
         }
@@ -500,8 +462,7 @@
     void send_exchange(const model::instance_info& to, const message_header& requester) {
         const auto header = next_header();
         const auto step = requester.sender.empty() ? stage::direct : stage::mediated;
-        pending_.push_back(
-            {header.message_id, to.instance, clock_.now() + options_.reply_limit, step, requester});
+        pending_.push_back({to.instance, clock_.now() + options_.reply_limit, step, requester});
         transport_.send_gossip(to, header, build(to, {}));
     }
 
@@ -533,8 +494,7 @@
     }
 
     void probe_indirectly(const pending& direct, kernel::time_point now) {
-        pending_.push_back(
-            {direct.message_id, direct.peer, now + options_.indirect_limit, stage::indirect, {}});
+        pending_.push_back({direct.peer, now + options_.indirect_limit, stage::indirect, {}});
         for (const auto& via :
              random_rows(rows_.reachable(), options_.indirect_probes, direct.peer)) {
             transport_.send_probe_request(via, next_header(), {direct.peer});
@@ -601,7 +561,7 @@
         if (receiver.started) {
             add_not_working(add);
         }
-        add_notices(message, fits);
+        notices_.write(message, send_limit(), clock_.now(), fits);
         news_.take(send_limit(), [&](const auto& id) {
             const auto* row = rows_.find(id);
             return row == nullptr || add(row->info);
@@ -612,31 +572,6 @@
         return message;
     }
 
-    template <class Fits>
-    void add_notices(gossip_message& message, Fits fits) {
-        const auto now = clock_.now();
-        draining_news_.take(send_limit(), [&](const auto& server) {
-            const auto it = draining_.find(server);
-            if (it == draining_.end() || it->second <= now) {
-                return true;
-            }
-            const bool fit = fits(server.text().size() + draining_bytes);
-            if (fit) {
-                const auto left = it->second - now;
-                message.draining.push_back(
-                    {server, std::chrono::duration_cast<std::chrono::milliseconds>(left)});
-            }
-            return fit;
-        });
-        quarantined_news_.take(send_limit(), [&](std::uint64_t fingerprint) {
-            const bool fit = fits(quarantined_bytes);
-            if (fit) {
-                message.quarantined.push_back(fingerprint);
-            }
-            return fit;
-        });
-    }
-
     /// Rows that the lagging platform's list may still show as alive: all leaving ones, then the
     /// failed ones, the latest first.
     template <class Add>
@@ -681,20 +616,13 @@
     /// When a suspect or silent leaving row becomes failed.
     std::map<model::instance_id, kernel::time_point> suspicions_;
     spread_queue<model::instance_id> news_;
-    std::map<model::server_id, kernel::time_point> draining_;
-    spread_queue<model::server_id> draining_news_;
-    std::set<std::uint64_t> quarantined_;
-    std::vector<std::uint64_t> quarantined_order_;
-    std::vector<std::uint64_t> new_quarantined_;
-    spread_queue<std::uint64_t> quarantined_news_;
+    shared_notices notices_;
     kernel::time_point next_exchange_;
     std::uint64_t exchanges_ = 0;
     std::optional<kernel::time_point> push_at_;
-    std::uint32_t push_tokens_ = 0;
-    kernel::time_point next_token_;
+    push_limit push_limit_;
     std::uint64_t last_message_ = 0;
     bool view_changed_ = true;
-    bool draining_changed_ = false;
     bool superseded_ = false;
     member_counters counters_;
 };
