Add the capacity measurements

Cause: the limits on processor time, memory and bytes of control work hold at 3,000 instances, which no machine of ours can run as processes.

Measurements register with an extension point.

--- /dev/null
+++ b/tools/capacity/member_measurement.cpp
@@ -0,0 +1,221 @@
+#include <algorithm>
+#include <array>
+#include <map>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "capacity/heap.h"
+#include "capacity/measurement.h"
+#include "membership/virtual_cluster.h"
+#include "wire/generated/peer.pb.h"
+#include "wire/gossip_codec.h"
+
+namespace poplarfront::capacity {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double seconds_a_day = 86400;
+
+/// Encodes each message as it would be sent, and decodes it, since a receiver does.
+class counting_link {
+public:
+    std::optional<kernel::duration> transit(const membership::peer_message& message,
+                                            kernel::time_point) {
+        const auto bytes = encoded_size(message);
+        ++messages;
+        sent_bytes[message.from.instance] += bytes;
+        if (!stopped.contains(message.to.instance)) {
+            received_bytes += bytes;
+        }
+        return 1ms;
+    }
+
+    void reset() {
+        messages = 0;
+        received_bytes = 0;
+        sent_bytes.clear();
+    }
+
+    std::uint64_t messages = 0;
+    std::uint64_t received_bytes = 0;
+    std::unordered_map<model::instance_id, std::uint64_t> sent_bytes;
+    std::unordered_set<model::instance_id> stopped;
+
+private:
+    static std::uint64_t encoded_size(const membership::peer_message& message) {
+        wire::proto::Envelope envelope;
+        envelope.set_protocol_version(1);
+        envelope.set_deployment("richelieu");
+        envelope.set_sender(message.header.sender.text());
+        envelope.set_sender_incarnation(message.header.sender_incarnation.value);
+        envelope.set_message_id(message.header.message_id);
+        envelope.set_reply_to(message.header.reply_to);
+        if (const auto* gossip = std::get_if<membership::gossip_body>(&message.body)) {
+            wire::set_gossip(gossip->message, gossip->reply ? *envelope.mutable_gossip_reply()
+                                                            : *envelope.mutable_gossip());
+        } else if (const auto* probe = std::get_if<membership::probe_request>(&message.body)) {
+            envelope.mutable_probe_request()->set_target(probe->target.text());
+        } else {
+            const auto& reply = std::get<membership::probe_reply>(message.body);
+            envelope.mutable_probe_reply()->set_target(reply.target.text());
+            envelope.mutable_probe_reply()->set_reached(reply.reached);
+        }
+        const auto bytes = envelope.SerializeAsString();
+        wire::proto::Envelope received;
+        received.ParseFromString(bytes);
+        const auto& gossip = received.has_gossip() ? received.gossip() : received.gossip_reply();
+        static_cast<void>(wire::get_gossip(gossip).has_value());
+        return bytes.size();
+    }
+};
+
+model::instance_info instance(std::uint64_t n, kernel::time_point now) {
+    constexpr std::array<const char*, 4> data_centres{"crack-hall", "sort-wing", "dock-shed",
+                                                      "office-annex"};
+    // As long as the time since the epoch, which is what a process uses.
+    constexpr auto epoch = std::chrono::hours{496'000};
+    const auto since =
+        epoch + std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    return {model::instance_id::trusted("poplarfront-" + std::to_string(n)),
+            model::data_centre_id::trusted(data_centres.at(n % data_centres.size())),
+            "10.20." + std::to_string(n / 250) + "." + std::to_string(n % 250) + ":7000",
+            membership::first_incarnation(since)};
+}
+
+class member_run {
+public:
+    member_run(std::uint64_t instances, const capacity_options& options)
+        : instances_(instances), cluster_(link_, options.seed, {}) {
+        for (std::uint64_t n = 0; n < instances_; ++n) {
+            list_.push_back({instance(n, cluster_.now()), false});
+        }
+        const auto before = heap_bytes();
+        for (const auto& it : list_) {
+            cluster_.start(it.row, list_);
+        }
+        run(10s);
+        heap_per_instance_ =
+            static_cast<double>(heap_bytes() - before) / static_cast<double>(instances_);
+        view_seconds_ = time_view();
+    }
+
+    /// Replaces instances at a rate a day: each leaves, stops 2 s later and starts again 1 s later.
+    sample measure(std::uint64_t changes, std::uint64_t seconds) {
+        link_.reset();
+        const auto count =
+            static_cast<std::uint64_t>(static_cast<double>(changes * seconds) / seconds_a_day);
+        const auto plan = plan_steps(count, seconds);
+        const auto before = processor_seconds();
+        const auto end = cluster_.now() + std::chrono::seconds{seconds};
+        for (const auto& [at, change] : plan) {
+            cluster_.run_until(at);
+            apply(change);
+        }
+        cluster_.run_until(end);
+        return figures(count, processor_seconds() - before, static_cast<double>(seconds));
+    }
+
+private:
+    void run(kernel::duration time) { cluster_.run_until(cluster_.now() + time); }
+
+    enum class step { leave, stop, start };
+    using instance_step = std::pair<step, std::uint64_t>;
+
+    std::multimap<kernel::time_point, instance_step> plan_steps(std::uint64_t count,
+                                                                std::uint64_t seconds) {
+        std::multimap<kernel::time_point, instance_step> plan;
+        const std::chrono::duration<double> usable{static_cast<double>(seconds) - 3};
+        for (std::uint64_t n = 0; n < count; ++n) {
+            const auto part = static_cast<double>(n) / static_cast<double>(count);
+            const auto at =
+                cluster_.now() + std::chrono::duration_cast<kernel::duration>(usable * part);
+            const auto which = next_++ % instances_;
+            plan.emplace(at, instance_step{step::leave, which});
+            plan.emplace(at + 2s, instance_step{step::stop, which});
+            plan.emplace(at + 3s, instance_step{step::start, which});
+        }
+        return plan;
+    }
+
+    void apply(const instance_step& change) {
+        const auto id = instance(change.second, {}).instance;
+        if (change.first == step::start) {
+            link_.stopped.erase(id);
+            cluster_.start(instance(change.second, cluster_.now()), list_);
+        } else if (change.first == step::stop) {
+            cluster_.stop(id);
+            link_.stopped.insert(id);
+        } else if (cluster_.runs(id)) {
+            cluster_.input(id, [](auto& table) { table.leave(); });
+        }
+    }
+
+    /// The median time to make a view after one row changed.
+    double time_view() {
+        constexpr int repeats = 21;
+        const auto id = list_.front().row.instance;
+        const auto other = list_.back().row;
+        std::vector<double> times;
+        for (int n = 1; n <= repeats; ++n) {
+            auto changed = other;
+            changed.start.value += static_cast<std::uint64_t>(n);
+            cluster_.input(id, [&](auto& table) {
+                table.on_gossip_reply({other.instance, changed.start, 0, 0},
+                                      {0, {changed}, {}, {}});
+                const auto before = processor_seconds();
+                const auto view = table.take_changed_view();
+                times.push_back(processor_seconds() - before);
+            });
+        }
+        std::sort(times.begin(), times.end());
+        return times[times.size() / 2];
+    }
+
+    sample figures(std::uint64_t count, double processor, double seconds) const {
+        const auto each = static_cast<double>(instances_) * seconds;
+        std::uint64_t sent = 0;
+        std::uint64_t most = 0;
+        for (const auto& [id, bytes] : link_.sent_bytes) {
+            sent += bytes;
+            most = std::max(most, bytes);
+        }
+        return {{{"instances", static_cast<double>(instances_)},
+                 {"changes_per_day", static_cast<double>(count) * seconds_a_day / seconds}},
+                {{"cpu_s_per_s", processor / each},
+                 {"sent_bytes_per_s", static_cast<double>(sent) / each},
+                 {"most_sent_bytes_per_s", static_cast<double>(most) / seconds},
+                 {"received_bytes_per_s", static_cast<double>(link_.received_bytes) / each},
+                 {"sent_messages_per_s", static_cast<double>(link_.messages) / each},
+                 {"heap_bytes", heap_per_instance_},
+                 {"view_ms", view_seconds_ * 1000}}};
+    }
+
+    std::uint64_t instances_;
+    counting_link link_;
+    membership::virtual_cluster<counting_link> cluster_;
+    std::vector<membership::platform_entry> list_;
+    double heap_per_instance_ = 0;
+    double view_seconds_ = 0;
+    std::uint64_t next_ = 1;
+};
+
+std::vector<sample> run(const capacity_options& options) {
+    std::vector<sample> samples;
+    for (const auto instances : options.instances) {
+        member_run it{instances, options};
+        for (const auto changes : options.changes) {
+            samples.push_back(it.measure(changes, options.seconds));
+        }
+    }
+    return samples;
+}
+
+const kernel::extension_point<measurement>::registration registered{
+    {"member_table",
+     "per instance; processor time includes encoding, decoding and the simulated network",
+     {"instances", "changes_per_day"},
+     run}};
+
+}  // namespace
+}  // namespace poplarfront::capacity
