Add request keys, claim buckets and their encoding

Cause: claims need a value type for keys with an issue time and a store value that survives unknown readers.

Result: the encoded size stays within size_bound, damaged and newer values are refused rather than read as empty.

--- /dev/null
+++ b/packages/wire/tests/claims_codec_test.cpp
@@ -0,0 +1,37 @@
+#include "wire/claims_codec.h"
+
+#include <catch2/catch.hpp>
+
+namespace poplarfront::wire {
+namespace {
+
+using namespace at_most_once;
+
+TEST_CASE("a claim bucket survives encoding within its size bound") {
+    claim_bucket bucket;
+    bucket.records[{~0ULL, ~0ULL, ~0ULL}] = {
+        ~0ULL, claim_state::done, wall_time{999'999'999'999'999}, std::string(300, '\xff'), true};
+    bucket.records[{1, 2, 3}] = {4, claim_state::claimed, wall_time{5}, "", false};
+    bucket.records[{1, 2, 4}] = {5, claim_state::released, wall_time{6}, "", false};
+    const auto bytes = claims_codec::encode(bucket);
+    CHECK(bytes.size() <= bucket.size_bound());
+    const auto decoded = claims_codec::decode(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded.value() == bucket);
+}
+
+TEST_CASE("damaged claim buckets are refused, since an empty one would let actions run twice") {
+    claim_bucket bucket;
+    bucket.records[{1, 2, 3}] = {4, claim_state::claimed, wall_time{5}, "", false};
+    const auto bytes = claims_codec::encode(bucket);
+    CHECK_FALSE(claims_codec::decode(bytes.substr(0, bytes.size() - 1)));
+    CHECK_FALSE(claims_codec::decode("not a bucket"));
+    const std::string newer_format{"\x08\x02", 2};
+    CHECK_FALSE(claims_codec::decode(newer_format));
+    bucket.records[{1, 2, 3}].nonce = 0;
+    CHECK_FALSE(claims_codec::decode(claims_codec::encode(bucket)));
+    CHECK(claims_codec::decode("").value() == claim_bucket{});
+}
+
+}  // namespace
+}  // namespace poplarfront::wire
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -2,6 +2,9 @@
 # Regenerates the committed protobuf code. Needs Debian's protobuf-compiler; the build does not.
 set -euo pipefail
 cd "$(dirname "$0")/../packages"
-protoc --cpp_out=. wire/peer.proto
-mv wire/peer.pb.h wire/peer.pb.cc wire/generated/
-sed -i 's|#include "wire/peer.pb.h"|#include "wire/generated/peer.pb.h"|' wire/generated/peer.pb.cc
+for name in peer claims; do
+  protoc --cpp_out=. "wire/$name.proto"
+  mv "wire/$name.pb.h" "wire/$name.pb.cc" wire/generated/
+  sed -i "s|#include \"wire/$name.pb.h\"|#include \"wire/generated/$name.pb.h\"|" \
+    "wire/generated/$name.pb.cc"
+done
