--- /dev/null
+++ b/packages/at_most_once/forwarded_action.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <concepts>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "kernel/concepts.h"
+#include "model/action.h"
+
+namespace poplarfront::at_most_once {
+
+/// Sends actions to their home instance. Returns at once; the result is passed to forwarded_action.
+template <class T>
+concept home_transport = requires(T& transport, const model::instance_id& home,
+                                  const model::action_request& action) {
+    { transport.forward(home, action) } -> std::same_as<void>;
+};
+
+/// Follows one action that the entry instance forwards to its home instance. Without a result by
+/// the deadline the outcome is unknown, since the home may have sent the action.
+///
+/// Thread safety: used on one thread. Clock and transport must outlive it.
+template <kernel::clock_source Clock, home_transport Transport>
+class forwarded_action {
+public:
+    forwarded_action(const Clock& clock, Transport& transport, model::instance_id home,
+                     model::action_request request)
+        : clock_(clock),
+          transport_(transport),
+          home_(std::move(home)),
+          request_(std::move(request)) {}
+
+    /// Forwards the action, unless its deadline has passed.
+    void start() {
+        if (clock_.now() >= request_.deadline) {
+            result_ = {model::action_status::not_run, "", "deadline"};
+            return;
+        }
+        transport_.forward(home_, request_);
+    }
+
+    /// Takes the home's result; one of another request or searcher is ignored.
+    void on_result(const model::request_id& request, const model::searcher_id& searcher,
+                   const model::action_outcome& outcome) {
+        if (!result_ && request == request_.request && searcher == request_.searcher) {
+            result_ = outcome;
+        }
+    }
+
+    /// Must be called when the time of next_timer() has come.
+    void on_timer() {
+        if (!result_ && clock_.now() >= request_.deadline) {
+            result_ = {model::action_status::unknown, "", "no_reply_from_home"};
+        }
+    }
+
+    [[nodiscard]] kernel::time_point next_timer() const { return request_.deadline; }
+
+    /// The outcome, once there is one.
+    [[nodiscard]] const std::optional<model::action_outcome>& result() const { return result_; }
+
+    [[nodiscard]] const model::action_request& request() const { return request_; }
+
+private:
+    const Clock& clock_;
+    Transport& transport_;
+    model::instance_id home_;
+    model::action_request request_;
+    std::optional<model::action_outcome> result_;
+};
+
+}  // namespace poplarfront::at_most_once
