--- a/packages/at_most_once/claim.h
+++ b/packages/at_most_once/claim.h
@@ -152,6 +152,20 @@
     friend auto operator<=>(const claim_policy&, const claim_policy&) = default;
 };
 
+/// Calls made so far, for the state dump and for measurements.
+struct claim_counts {
+    std::uint64_t claims = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t conflicts = 0;
+    std::uint64_t read_backs = 0;
+    std::uint64_t refused = 0;
+    friend auto operator<=>(const claim_counts&, const claim_counts&) = default;
+};
+
+/// The counts as a JSON object.
+[[nodiscard]] std::string to_json(const claim_counts& counts);
+
 /// The bucket of a key. Precondition: buckets > 0.
 [[nodiscard]] std::uint32_t bucket_of(const key_identity& key, std::uint32_t buckets);
 
--- a/packages/at_most_once/claim_table.h
+++ b/packages/at_most_once/claim_table.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -16,17 +17,6 @@
 
 namespace poplarfront::at_most_once {
 
-/// Calls made so far, for the state dump and for measurements.
-struct claim_counts {
-    std::uint64_t claims = 0;
-    std::uint64_t reads = 0;
-    std::uint64_t writes = 0;
-    std::uint64_t conflicts = 0;
-    std::uint64_t read_backs = 0;
-    std::uint64_t refused = 0;
-    friend auto operator<=>(const claim_counts&, const claim_counts&) = default;
-};
-
 /// Makes, ends and looks up claims in the store's buckets, with one store call per bucket at a time
 /// and one write for all changes that wait.
 ///
@@ -35,6 +25,7 @@
 /// be passed on to callers that call again.
 ///
 /// Thread safety: used on one thread. The clock, random source and store must outlive the table.
+/// The store must not complete a call before the call has returned.
 template <kernel::clock_source Clock, kernel::random_source Random, store::async_store Store,
           bucket_codec Codec>
 class claim_table {
@@ -55,6 +46,7 @@
         internal::bucket_change change{internal::change_kind::claim, ticket, request.key,
                                        new_nonce(), request.issued};
         change.deadline = request.deadline;
+        claims_.emplace(ticket, bucket_of(request.key, policy_.buckets));
         enqueue(std::move(change));
         return ticket;
     }
@@ -70,14 +62,14 @@
             }
             return;
         }
-        for (auto& [number, bucket] : buckets_) {
-            for (auto& change : bucket.changes) {
-                if (change.ticket == ticket) {
-                    change.abandoned = true;
-                    change.silent = true;
-                }
-            }
+        const auto claimed = claims_.find(ticket);
+        if (claimed == claims_.end()) {
+            return;
         }
+        auto& changes = buckets_.at(claimed->second).changes;
+        const auto change = std::ranges::find(changes, ticket, &bucket_change::ticket);
+        change->abandoned = true;
+        change->silent = true;
     }
 
     /// Records that the claimed action was executed.
@@ -106,7 +98,7 @@
             give_up(*bucket);
             return;
         }
-        bucket->cached = cached_value{std::move(decoded.value()), outcome.value.version};
+        keep(*bucket, std::move(decoded.value()), outcome.value.version);
         bucket->fresh = true;
         bucket->retry_delay = policy_.first_retry_delay;
         apply(*bucket);
@@ -140,28 +132,18 @@
     /// Must be called when the time of next_timer() has come.
     void on_timer() {
         const auto now = clock_.now();
-        std::vector<bucket_state*> due;
-        for (auto& [number, bucket] : buckets_) {
-            if (bucket.due && *bucket.due <= now) {
-                due.push_back(&bucket);
-            }
-        }
-        for (auto* bucket : due) {
-            bucket->due.reset();
-            start(*bucket);
+        while (!due_.empty() && due_.begin()->first <= now) {
+            auto& bucket = buckets_.at(due_.begin()->second);
+            due_.erase(due_.begin());
+            bucket.due = false;
+            start(bucket);
         }
         enqueue_releases();
         evict();
     }
 
     [[nodiscard]] std::optional<kernel::time_point> next_timer() const {
-        std::optional<kernel::time_point> next;
-        for (const auto& [number, bucket] : buckets_) {
-            if (bucket.due) {
-                next = std::min(next.value_or(*bucket.due), *bucket.due);
-            }
-        }
-        return next;
+        return due_.empty() ? std::nullopt : std::optional{due_.begin()->first};
     }
 
     /// How calls ended since the last take, in that order.
@@ -170,6 +152,8 @@
     [[nodiscard]] const claim_counts& count() const { return counts_; }
     /// Claims and ends of claims that wait for the store.
     [[nodiscard]] std::size_t waiting() const { return waiting_; }
+    /// Memory used by values of buckets, as an upper bound of their encoded size.
+    [[nodiscard]] std::size_t cached_bytes() const { return cached_bytes_; }
 
 private:
     using bucket_change = internal::bucket_change;
@@ -177,6 +161,7 @@
     struct cached_value {
         claim_bucket bucket;
         std::uint64_t version = 0;
+        std::size_t bytes = 0;
     };
 
     struct bucket_state {
@@ -190,7 +175,8 @@
         /// The value that the write under way makes.
         claim_bucket written;
         std::optional<store::call_id> open_call;
-        std::optional<kernel::time_point> due;
+        /// It has an entry in due_.
+        bool due = false;
         kernel::duration retry_delay{};
         kernel::time_point last_used;
     };
@@ -223,10 +209,16 @@
         ++waiting_;
         if (!bucket.open_call && !bucket.due) {
             bucket.retry_delay = policy_.first_retry_delay;
-            bucket.due = clock_.now() + policy_.batch_window;
+            start_at(bucket, clock_.now() + policy_.batch_window);
         }
     }
 
+    /// Precondition: the bucket has no entry in due_.
+    void start_at(bucket_state& bucket, kernel::time_point time) {
+        bucket.due = true;
+        due_.emplace(time, bucket.number);
+    }
+
     /// Begins to work on the changes that wait.
     void start(bucket_state& bucket) {
         if (bucket.changes.empty()) {
@@ -246,7 +238,7 @@
     }
 
     void reread(bucket_state& bucket) {
-        bucket.cached.reset();
+        forget(bucket);
         bucket.fresh = false;
         bucket.in_write = 0;
         read(bucket);
@@ -325,7 +317,7 @@
     }
 
     void on_written(bucket_state& bucket, std::uint64_t version) {
-        bucket.cached = cached_value{std::exchange(bucket.written, {}), version};
+        keep(bucket, std::exchange(bucket.written, {}), version);
         bucket.retry_delay = policy_.first_retry_delay;
         settle_written(bucket);
         // The store had exactly this value a moment ago.
@@ -344,7 +336,7 @@
     void on_lost_reply(bucket_state& bucket) {
         if (!policy_.read_back_lost_writes) {
             settle_written(bucket);
-            bucket.cached.reset();
+            forget(bucket);
             schedule_rest(bucket);
             return;
         }
@@ -359,7 +351,7 @@
     /// before their deadline; ends of claims are kept.
     void on_store_failure(bucket_state& bucket, bool may_succeed_soon) {
         bucket.in_write = 0;
-        bucket.cached.reset();
+        forget(bucket);
         std::deque<bucket_change> kept;
         const auto now = clock_.now();
         for (auto& change : bucket.changes) {
@@ -390,15 +382,15 @@
 
     void retry_later(bucket_state& bucket) {
         if (!bucket.changes.empty()) {
-            bucket.due = clock_.now() + bucket.retry_delay;
+            start_at(bucket, clock_.now() + bucket.retry_delay);
             bucket.retry_delay = std::min(bucket.retry_delay * 2, policy_.longest_retry_delay);
         }
     }
 
     void schedule_rest(bucket_state& bucket) {
         if (!bucket.changes.empty() && !bucket.due) {
-            bucket.due =
-                std::max(clock_.now(), bucket.changes.front().arrived + policy_.batch_window);
+            start_at(bucket,
+                     std::max(clock_.now(), bucket.changes.front().arrived + policy_.batch_window));
         }
     }
 
@@ -406,6 +398,7 @@
     /// then released, as is a refused one of which a write may still take effect.
     void settle(const bucket_change& change, claim_event event) {
         --waiting_;
+        claims_.erase(change.ticket);
         const bool expired =
             change.abandoned || (policy_.check_deadline && change.deadline <= clock_.now());
         if (event.status == claim_status::held && expired) {
@@ -447,20 +440,33 @@
         events_.push_back(std::move(event));
     }
 
+    void keep(bucket_state& bucket, claim_bucket value, std::uint64_t version) {
+        forget(bucket);
+        const auto bytes = value.size_bound();
+        bucket.cached = cached_value{std::move(value), version, bytes};
+        cached_bytes_ += bytes;
+    }
+
+    void forget(bucket_state& bucket) {
+        cached_bytes_ -= bucket.cached ? bucket.cached->bytes : 0;
+        bucket.cached.reset();
+    }
+
     /// Forgets the values of the buckets that were used least recently, down to the cache limit.
     void evict() {
+        if (cached_bytes_ <= policy_.max_cached_bytes) {
+            return;
+        }
         std::vector<bucket_state*> idle;
-        std::size_t bytes = 0;
         for (auto& [number, bucket] : buckets_) {
-            bytes += bucket.cached ? bucket.cached->bucket.size_bound() : 0;
             if (bucket.cached && bucket.changes.empty()) {
                 idle.push_back(&bucket);
             }
         }
         std::ranges::sort(idle, {}, &bucket_state::last_used);
-        for (auto it = idle.begin(); it != idle.end() && bytes > policy_.max_cached_bytes; ++it) {
-            bytes -= (*it)->cached->bucket.size_bound();
-            (*it)->cached.reset();
+        for (auto it = idle.begin(); it != idle.end() && cached_bytes_ > policy_.max_cached_bytes;
+             ++it) {
+            forget(**it);
         }
     }
 
@@ -470,12 +476,16 @@
     claim_policy policy_;
     std::unordered_map<std::uint32_t, bucket_state> buckets_;
     std::unordered_map<store::call_id, std::uint32_t> calls_;
+    std::set<std::pair<kernel::time_point, std::uint32_t>> due_;
+    /// The buckets of claims that have not ended.
+    std::unordered_map<claim_ticket, std::uint32_t> claims_;
     std::vector<claim_event> events_;
     std::vector<bucket_change> released_;
     claim_counts counts_;
     /// The wall clock at the latest claim.
     wall_time wall_time_{0};
     std::size_t waiting_ = 0;
+    std::size_t cached_bytes_ = 0;
     claim_ticket last_ticket_ = 0;
     store::call_id last_call_ = 0;
 };
--- a/packages/at_most_once/internal/claim.cpp
+++ b/packages/at_most_once/internal/claim.cpp
@@ -1,5 +1,7 @@
 #include "at_most_once/claim.h"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 
 namespace poplarfront::at_most_once {
@@ -28,6 +30,13 @@
     return bytes;
 }
 
+std::string to_json(const claim_counts& counts) {
+    return fmt::format(
+        R"({{"claims":{},"reads":{},"writes":{},"conflicts":{},"read_backs":{},"refused":{}}})",
+        counts.claims, counts.reads, counts.writes, counts.conflicts, counts.read_backs,
+        counts.refused);
+}
+
 std::uint32_t bucket_of(const key_identity& key, std::uint32_t buckets) {
     return static_cast<std::uint32_t>((key.key_low ^ key.searcher) % buckets);
 }
--- a/packages/store/internal/http_store_client.cpp
+++ b/packages/store/internal/http_store_client.cpp
@@ -31,8 +31,11 @@
 bool is_refusal(unsigned status) {
     constexpr unsigned first_client_error = 400;
     constexpr unsigned first_server_error = 500;
+    // A proxy may give 408 after it has passed the request on.
+    constexpr unsigned request_timeout = 408;
     return status == status_service_unavailable ||
-           (status >= first_client_error && status < first_server_error);
+           (status >= first_client_error && status < first_server_error &&
+            status != request_timeout);
 }
 
 store_status failure_of(const runtime::call_result& result) {
