Let claims not wait behind the retry of a refused write

Cause: while the store refused the end of a claim, a later claim of the same bucket waited up to a second for the next attempt. An unreadable bucket left the release of a doubtful claim waiting for the next event.

Change: a claim brings the next attempt forward.

--- a/packages/at_most_once/claim_table.h
+++ b/packages/at_most_once/claim_table.h
@@ -96,6 +96,7 @@
         auto decoded = Codec::decode(outcome.value.bytes);
         if (!decoded) {
             give_up(*bucket);
+            enqueue_releases();
             return;
         }
         keep(*bucket, std::move(decoded.value()), outcome.value.version);
@@ -135,7 +136,7 @@
         while (!due_.empty() && due_.begin()->first <= now) {
             auto& bucket = buckets_.at(due_.begin()->second);
             due_.erase(due_.begin());
-            bucket.due = false;
+            bucket.due.reset();
             start(bucket);
         }
         enqueue_releases();
@@ -175,8 +176,8 @@
         /// The value that the write under way makes.
         claim_bucket written;
         std::optional<store::call_id> open_call;
-        /// It has an entry in due_.
-        bool due = false;
+        /// Its time in due_.
+        std::optional<kernel::time_point> due;
         kernel::duration retry_delay{};
         kernel::time_point last_used;
     };
@@ -205,17 +206,25 @@
         bucket.number = number;
         bucket.last_used = clock_.now();
         change.arrived = clock_.now();
-        bucket.changes.push_back(std::move(change));
-        ++waiting_;
-        if (!bucket.open_call && !bucket.due) {
+        if (bucket.changes.empty()) {
             bucket.retry_delay = policy_.first_retry_delay;
+        }
+        // A claim does not wait for the next attempt at the ends of claims that the store refused.
+        const bool is_claim = change.kind == internal::change_kind::claim;
+        if (!bucket.open_call && (is_claim || !bucket.due)) {
             start_at(bucket, clock_.now() + policy_.batch_window);
         }
+        bucket.changes.push_back(std::move(change));
+        ++waiting_;
     }
 
-    /// Precondition: the bucket has no entry in due_.
+    /// Starts at `time` or, if that is earlier, when it was due before.
     void start_at(bucket_state& bucket, kernel::time_point time) {
-        bucket.due = true;
+        if (bucket.due) {
+            due_.erase({*bucket.due, bucket.number});
+            time = std::min(time, *bucket.due);
+        }
+        bucket.due = time;
         due_.emplace(time, bucket.number);
     }
 
