Test slot queues under random overload

Cause: no test showed that an early refusal is truthful in both directions: that a request which starts ends in time, and that refusals do not leave slots idle.

All started requests end in time and the slots are at least 97% busy.

--- a/packages/admission/tests/limits_test.cpp
+++ b/packages/admission/tests/limits_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <deque>
+#include <map>
 #include <set>
 
 #include "admission/admission_gate.h"
@@ -81,6 +82,70 @@
     CHECK(tested.resize(2) == slot_step{{3}, {}});
 }
 
+/// A backend server with fixed slots behind a slot queue, in steps of 1 ms.
+class slot_simulation {
+public:
+    static constexpr std::uint32_t slots = 2;
+    static constexpr milliseconds execution{4};
+
+    void offer(std::uint64_t id, milliseconds wait) {
+        deadlines_.emplace(id, clock_.now() + wait);
+        apply(queue_.offer({id, clock_.now() + wait}));
+    }
+
+    void step() {
+        clock_.advance(milliseconds{1});
+        while (!executing_.empty() && executing_.begin()->first <= clock_.now()) {
+            in_time += clock_.now() <= deadlines_.at(executing_.begin()->second) ? 1 : 0;
+            executing_.erase(executing_.begin());
+            apply(queue_.release(execution));
+        }
+        apply(queue_.on_timer());
+    }
+
+    std::size_t started = 0;
+    std::size_t refused = 0;
+    std::size_t in_time = 0;
+    std::size_t most_executing = 0;
+
+private:
+    void apply(const slot_step& next) {
+        for (const auto id : next.started) {
+            executing_.emplace(clock_.now() + execution, id);
+        }
+        started += next.started.size();
+        refused += next.refused.size();
+        most_executing = std::max(most_executing, executing_.size());
+    }
+
+    kernel::manual_clock clock_;
+    slot_queue<kernel::manual_clock> queue_{clock_, {slots, 64, execution}};
+    std::multimap<kernel::time_point, std::uint64_t> executing_;
+    std::map<std::uint64_t, kernel::time_point> deadlines_;
+};
+
+TEST_CASE("under overload the slots stay busy and every request that starts ends in time") {
+    kernel::seeded_random_source random{11};
+    slot_simulation simulation;
+    constexpr std::size_t simulated_ms = 20'000;
+    std::uint64_t offered = 0;
+    for (std::size_t ms = 0; ms < simulated_ms; ++ms) {
+        simulation.step();
+        for (auto n = kernel::uniform_below(random, 5); n > 0; --n) {
+            simulation.offer(offered++, milliseconds{2 + kernel::uniform_below(random, 60)});
+        }
+    }
+    for (int ms = 0; ms < 100; ++ms) {
+        simulation.step();
+    }
+    const double capacity = static_cast<double>(slot_simulation::slots * simulated_ms) /
+                            static_cast<double>(slot_simulation::execution.count());
+    CHECK(simulation.most_executing == slot_simulation::slots);
+    CHECK(simulation.started + simulation.refused == offered);
+    CHECK(simulation.in_time == simulation.started);
+    CHECK(static_cast<double>(simulation.in_time) >= 0.97 * capacity);
+}
+
 /// Records what a gate decides.
 struct recording_output {
     std::vector<std::uint64_t> started;
