--- a/packages/admission/aimd_limit.h
+++ b/packages/admission/aimd_limit.h
@@ -12,7 +12,8 @@
 /// added both.
 class aimd_limit {
 public:
-    /// Gave the most goodput under overload out of 20, 30, 40 and 60 ms, at a mean execution of 5 ms.
+    /// Of 20, 30, 40 and 60 ms the bound with the most goodput under overload, at a mean execution
+    /// of 5 ms.
     static constexpr kernel::duration default_longest_latency = std::chrono::milliseconds{30};
 
     explicit aimd_limit(kernel::duration longest_latency = default_longest_latency)
