--- a/packages/daemon/internal/search_worker.cpp
+++ b/packages/daemon/internal/search_worker.cpp
@@ -76,7 +76,7 @@
       random_(environment_.identity->start.value) {}
 
 routing::routing_context search_worker::context() {
-    return {policy_,      replicas_,   attempt_budget_, attempt_hedge_, batch_budget_,
+    return {policy_,      replicas_,    attempt_budget_, attempt_hedge_, owners_,  batch_budget_,
             batch_hedge_, quarantine_, versions_,       counters_,      random_};
 }
 
@@ -102,11 +102,8 @@
     apply_policy(*environment_.state());
     const auto mailbox = std::make_shared<session_mailbox>();
     environment_.pending->add(request.request, mailbox);
-    std::map<std::uint32_t, model::instance_id> sent;
     function_transport transport{
         [&](const auto& owner, const auto& batch) {
-            ++outstanding_[owner];
-            sent.emplace(batch.batch, owner);
             send_batch(owner, batch, mailbox);
         },
         [&](const auto& owner, const auto& batch) { cancel_batch(owner, batch); }};
@@ -118,19 +115,12 @@
         if (!event) {
             session.on_timer();
         } else if (const auto* result = std::get_if<routing::sub_query_result>(&*event)) {
-            if (const auto it = sent.find(result->batch); it != sent.end()) {
-                --outstanding_[it->second];
-                sent.erase(it);
-            }
             session.on_result(*result);
         } else {
             session.on_owner_lost(std::get<owner_lost>(*event).owner);
         }
     }
     environment_.pending->remove(request.request);
-    for (const auto& [batch, owner] : sent) {
-        --outstanding_[owner];
-    }
     search_latency_.record(clock_.now() - start);
     counts_.add(session.answer()->complete() ? "complete" : "incomplete");
     return *session.answer();
@@ -164,8 +154,7 @@
     const auto rank = [&](const model::instance_id& id) {
         const auto* info = state.instances.find(id);
         const bool suspect = info == nullptr || info->status != model::instance_status::alive;
-        const auto it = outstanding_.find(id);
-        return std::tuple{id != self, suspect, it == outstanding_.end() ? 0U : it->second};
+        return std::pair{id != self, suspect};
     };
     std::stable_sort(ordered.begin(), ordered.end(),
                      [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
--- a/packages/daemon/search_worker.h
+++ b/packages/daemon/search_worker.h
@@ -82,12 +82,12 @@
     routing::replica_stats replicas_;
     retry::retry_budget attempt_budget_;
     retry::hedge_policy attempt_hedge_;
+    routing::owner_stats owners_;
     retry::retry_budget batch_budget_;
     retry::hedge_policy batch_hedge_;
     routing::crash_quarantine quarantine_;
     snapshot::version_tracker versions_;
     routing::routing_counters counters_;
-    std::map<model::instance_id, std::uint32_t> outstanding_;
     std::map<batch_key, std::function<void()>> running_;
     model::revision map_revision_;
     std::size_t in_flight_ = 0;
