Write a claim without copying its bucket

Cause: each write copied all records of the bucket and encoded them with one allocation each.

Change: the cached value is moved into the one written, since it is forgotten if the write fails; the codec uses an arena.

--- a/packages/at_most_once/claim.h
+++ b/packages/at_most_once/claim.h
@@ -47,7 +47,10 @@
     [[nodiscard]] const claim_record* find(const key_identity& key) const;
     /// This bucket with `changes` applied, without records issued before `purge_before`.
     [[nodiscard]] claim_bucket with(const std::map<key_identity, claim_record>& changes,
-                                    wall_time purge_before) const;
+                                    wall_time purge_before) const&;
+    /// Without copying the other records; a bucket may have thousands.
+    [[nodiscard]] claim_bucket with(const std::map<key_identity, claim_record>& changes,
+                                    wall_time purge_before) &&;
     /// An upper bound of the encoded size.
     [[nodiscard]] std::size_t size_bound() const;
     friend bool operator==(const claim_bucket&, const claim_bucket&) = default;
--- a/packages/at_most_once/claim_table.h
+++ b/packages/at_most_once/claim_table.h
@@ -313,13 +313,14 @@
             return entry.second.issued < limit;
         });
         if (any) {
-            cached.bucket = cached.bucket.with({}, purge_before());
+            cached.bucket = std::move(cached.bucket).with({}, purge_before());
         }
     }
 
     void write(bucket_state& bucket, const std::map<key_identity, claim_record>& changes) {
         ++counts_.writes;
-        bucket.written = bucket.cached->bucket.with(changes, purge_before());
+        // The cached value is not used again: it is replaced if the write succeeds, else forgotten.
+        bucket.written = std::move(bucket.cached->bucket).with(changes, purge_before());
         open_call(bucket);
         store_.compare_and_swap(*bucket.open_call, store_key_of(bucket.number),
                                 bucket.cached->version, Codec::encode(bucket.written));
--- a/packages/at_most_once/internal/claim.cpp
+++ b/packages/at_most_once/internal/claim.cpp
@@ -12,8 +12,13 @@
 }
 
 claim_bucket claim_bucket::with(const std::map<key_identity, claim_record>& changes,
-                                wall_time purge_before) const {
-    claim_bucket changed = *this;
+                                wall_time purge_before) const& {
+    return claim_bucket{*this}.with(changes, purge_before);
+}
+
+claim_bucket claim_bucket::with(const std::map<key_identity, claim_record>& changes,
+                                wall_time purge_before) && {
+    claim_bucket changed = std::move(*this);
     for (const auto& [key, record] : changes) {
         changed.records.insert_or_assign(key, record);
     }
--- a/packages/wire/internal/claims_codec.cpp
+++ b/packages/wire/internal/claims_codec.cpp
@@ -1,5 +1,7 @@
 #include "wire/claims_codec.h"
 
+#include <google/protobuf/arena.h>
+
 #include "wire/generated/claims.pb.h"
 
 namespace poplarfront::wire {
@@ -49,7 +51,9 @@
 }  // namespace
 
 std::string claims_codec::encode(const claim_bucket& bucket) {
-    proto::ClaimBucket message;
+    // One allocation for each of thousands of records took most of the time.
+    google::protobuf::Arena arena;
+    auto& message = *google::protobuf::Arena::CreateMessage<proto::ClaimBucket>(&arena);
     message.set_format(current_format);
     for (const auto& [key, record] : bucket.records) {
         auto& added = *message.add_records();
@@ -69,7 +73,8 @@
     if (bytes.empty()) {
         return claim_bucket{};
     }
-    proto::ClaimBucket message;
+    google::protobuf::Arena arena;
+    auto& message = *google::protobuf::Arena::CreateMessage<proto::ClaimBucket>(&arena);
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         return boost::leaf::new_error(wire_error{"", "is not a claim bucket"});
     }
