Skip malformed entries of the platform's instance list in poplarctl

Cause: one entry with a malformed operator address hid all instances, while the membership skips such entries.

Change: such entries are left out.

--- a/packages/wire/instance_list.h
+++ b/packages/wire/instance_list.h
@@ -13,8 +13,9 @@
 inline const std::string instance_list_key = "platform/instances";
 
 /// The operator addresses of the platform's list, a JSON object
-/// `{"instances": [{"operator_address": "IP:PORT", ...}]}`. Entries without one are left out.
-/// Errors: wire_error. Thread-safe.
+/// `{"instances": [{"operator_address": "IP:PORT", ...}]}`. Entries without one are left out,
+/// so that one malformed entry does not hide the others.
+/// Errors: wire_error if the whole is malformed. Thread-safe.
 kernel::result<std::vector<std::string>> decode_operator_addresses(std::string_view body);
 
 }  // namespace poplarfront::wire
--- a/packages/wire/internal/instance_list.cpp
+++ b/packages/wire/internal/instance_list.cpp
@@ -10,9 +10,9 @@
     std::vector<std::string> addresses;
     for (const auto& entry : entries) {
         const auto* fields = entry.if_object();
-        if (fields != nullptr && fields->contains("operator_address")) {
-            BOOST_LEAF_AUTO(address, internal::text_field(*fields, "operator_address"));
-            addresses.push_back(std::move(address));
+        const auto* address = fields == nullptr ? nullptr : fields->if_contains("operator_address");
+        if (address != nullptr && address->is_string()) {
+            addresses.emplace_back(address->get_string());
         }
     }
     return addresses;
--- a/packages/wire/tests/configuration_codec_test.cpp
+++ b/packages/wire/tests/configuration_codec_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "wire/configuration_codec.h"
+#include "wire/instance_list.h"
 
 namespace poplarfront::wire {
 namespace {
@@ -36,6 +37,15 @@
     CHECK_FALSE(decode_status(R"({"instance":"i-1","revision":1})"));
 }
 
+TEST_CASE("a malformed entry of the instance list does not hide the others") {
+    const auto addresses = decode_operator_addresses(
+        R"({"instances":[{"operator_address":"a:1"},7,{"operator_address":7},{},)"
+        R"({"instance":"i","operator_address":"b:1"}]})");
+    REQUIRE(addresses);
+    CHECK(addresses.value() == std::vector<std::string>{"a:1", "b:1"});
+    CHECK_FALSE(decode_operator_addresses("{}"));
+}
+
 TEST_CASE("truncated and inconsistent bytes are refused") {
     const auto bytes = encode_head(sample_head());
     CHECK_FALSE(decode_head(bytes.substr(0, bytes.size() - 1)));
