--- a/packages/daemon/internal/search_worker.cpp
+++ b/packages/daemon/internal/search_worker.cpp
@@ -76,7 +76,7 @@
       random_(environment_.identity->start.value) {}
 
 routing::routing_context search_worker::context() {
-    return {policy_,      replicas_,    attempt_budget_, attempt_hedge_, owners_,  batch_budget_,
+    return {policy_,      replicas_,   attempt_budget_, attempt_hedge_, owners_, batch_budget_,
             batch_hedge_, quarantine_, versions_,       counters_,      random_};
 }
 
@@ -103,9 +103,7 @@
     const auto mailbox = std::make_shared<session_mailbox>();
     environment_.pending->add(request.request, mailbox);
     function_transport transport{
-        [&](const auto& owner, const auto& batch) {
-            send_batch(owner, batch, mailbox);
-        },
+        [&](const auto& owner, const auto& batch) { send_batch(owner, batch, mailbox); },
         [&](const auto& owner, const auto& batch) { cancel_batch(owner, batch); }};
     function_planner planner{[this](const auto& it) { return plan(it); }};
     routing::query_session session{clock_, transport, context(), planner, request};
--- a/packages/kernel/module_registration.h
+++ b/packages/kernel/module_registration.h
@@ -58,8 +58,7 @@
 template <module_type Module>
 class module_registration {
 public:
-    module_registration()
-        : registration_(module_entry{Module::descriptor(), &create}) {}
+    module_registration() : registration_(module_entry{Module::descriptor(), &create}) {}
 
 private:
     static result<running_module> create(module_context& context) {
