Give forwarded actions a message id

A forward that arrives twice must be dropped, but the envelope has no message id and request ids are chosen by callers: two actions under way may share one, and the result of one would answer the other. The forward now carries an id that is unique among the messages of its sender's process, and the result repeats it. A forward without an id is refused.

--- a/packages/wire/internal/traffic_codec.cpp
+++ b/packages/wire/internal/traffic_codec.cpp
@@ -147,8 +147,10 @@
     return batch_cancel{std::move(request), in.batch()};
 }
 
-std::string encode_action_forward(const model::action_request& action, kernel::time_point now) {
+std::string encode_action_forward(const action_forward& forward, kernel::time_point now) {
+    const auto& action = forward.action;
     proto::ActionForward out;
+    out.set_message_id(forward.message_id);
     out.set_request(action.request.text());
     out.set_searcher(action.searcher.text());
     fill(action.target, *out.mutable_target());
@@ -158,9 +160,12 @@
     return out.SerializeAsString();
 }
 
-kernel::result<model::action_request> decode_action_forward(std::string_view bytes,
-                                                            kernel::time_point now) {
+kernel::result<action_forward> decode_action_forward(std::string_view bytes,
+                                                     kernel::time_point now) {
     BOOST_LEAF_AUTO(in, parse<proto::ActionForward>(bytes));
+    if (in.message_id() == 0) {
+        return boost::leaf::new_error(wire_error{"message_id", "is missing"});
+    }
     model::action_request action;
     BOOST_LEAF_ASSIGN(action.request, checked<model::request_id>(in.request(), "request"));
     BOOST_LEAF_ASSIGN(action.searcher, checked<model::searcher_id>(in.searcher(), "searcher"));
@@ -168,11 +173,12 @@
     action.request_key = in.request_key();
     action.body = in.body();
     action.deadline = now + std::chrono::milliseconds{in.remaining_ms()};
-    return action;
+    return action_forward{in.message_id(), std::move(action)};
 }
 
 std::string encode_action_result(const action_result& result) {
     proto::ActionResult out;
+    out.set_message_id(result.message_id);
     out.set_request(result.request.text());
     out.set_searcher(result.searcher.text());
     out.set_status(static_cast<std::uint32_t>(result.outcome.status));
@@ -184,6 +190,7 @@
 kernel::result<action_result> decode_action_result(std::string_view bytes) {
     BOOST_LEAF_AUTO(in, parse<proto::ActionResult>(bytes));
     action_result result;
+    result.message_id = in.message_id();
     BOOST_LEAF_ASSIGN(result.request, checked<model::request_id>(in.request(), "request"));
     BOOST_LEAF_ASSIGN(result.searcher, checked<model::searcher_id>(in.searcher(), "searcher"));
     if (in.status() > static_cast<std::uint32_t>(model::action_status::unknown)) {
--- a/packages/wire/tests/peer_test.cpp
+++ b/packages/wire/tests/peer_test.cpp
@@ -65,5 +65,39 @@
     CHECK(back.value() == result);
 }
 
+TEST_CASE("a forwarded action and its result survive encoding with the id that pairs them") {
+    const kernel::time_point now{std::chrono::seconds{9}};
+    const action_forward forward{
+        7,
+        {model::request_id::trusted("r"),
+         model::searcher_id::trusted("m"),
+         {model::service_id::trusted("billing"), model::shard_id::trusted("0")},
+         "1700000000000-a",
+         "body",
+         now + std::chrono::milliseconds{80}}};
+    const auto decoded = decode_action_forward(encode_action_forward(forward, now), now);
+    REQUIRE(decoded);
+    CHECK(decoded.value() == forward);
+
+    const action_result result{7,
+                               forward.action.request,
+                               forward.action.searcher,
+                               {model::action_status::executed, "reply", ""}};
+    const auto back = decode_action_result(encode_action_result(result));
+    REQUIRE(back);
+    CHECK(back.value() == result);
+}
+
+TEST_CASE("a forward without a message id is refused, since its repeats could not be dropped") {
+    const kernel::time_point now{std::chrono::seconds{9}};
+    action_forward forward;
+    forward.action.request = model::request_id::trusted("r");
+    forward.action.searcher = model::searcher_id::trusted("m");
+    forward.action.target = {model::service_id::trusted("billing"), model::shard_id::trusted("0")};
+    CHECK_FALSE(decode_action_forward(encode_action_forward(forward, now), now));
+    forward.message_id = 1;
+    CHECK(decode_action_forward(encode_action_forward(forward, now), now));
+}
+
 }  // namespace
 }  // namespace poplarfront::wire
--- a/packages/wire/traffic_codec.h
+++ b/packages/wire/traffic_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -30,12 +31,22 @@
 std::string encode_batch_cancel(const batch_cancel& cancel);
 kernel::result<batch_cancel> decode_batch_cancel(std::string_view bytes);
 
-std::string encode_action_forward(const model::action_request& action, kernel::time_point now);
-kernel::result<model::action_request> decode_action_forward(std::string_view bytes,
-                                                            kernel::time_point now);
+/// An action on its way from its entry instance to its home.
+struct action_forward {
+    /// Unique among the forwards of one process of the sender. Request ids are not, since callers
+    /// may choose them.
+    std::uint64_t message_id = 0;
+    model::action_request action;
+    friend auto operator<=>(const action_forward&, const action_forward&) = default;
+};
+std::string encode_action_forward(const action_forward& forward, kernel::time_point now);
+/// A forward without a message id is refused.
+kernel::result<action_forward> decode_action_forward(std::string_view bytes,
+                                                     kernel::time_point now);
 
-/// The outcome of a forwarded action, addressed to the request that forwarded it.
+/// The outcome of a forwarded action, addressed to the forward it answers.
 struct action_result {
+    std::uint64_t message_id = 0;
     model::request_id request;
     model::searcher_id searcher;
     model::action_outcome outcome;
