Share the entry gates of the traffic threads

Each search entry had a gate of its own; actions need the same one, since both use the searchers' shares and one concurrency limit. A module now provides one gate for each traffic thread and dumps its state.

A request may end without a sample: the 30 ms bound of the limit was measured for searches, and an action also waits for the store.

--- a/packages/admission/admission_gate.h
+++ b/packages/admission/admission_gate.h
@@ -48,6 +48,14 @@
         start_waiting();
     }
 
+    /// A started request has ended without a sample: the limit's latency bound was measured for
+    /// searches, and an action also waits for the store.
+    void on_end_unmeasured() {
+        limit_.on_end_unmeasured();
+        expect_execution();
+        start_waiting();
+    }
+
     /// Must be called when the time of next_timer() has come.
     void on_timer() { refuse_late(); }
 
--- a/packages/admission/concurrency_limit.h
+++ b/packages/admission/concurrency_limit.h
@@ -39,6 +39,9 @@
         --in_flight_;
     }
 
+    /// Precondition: a request that was started has ended. The limit stays as it is.
+    void on_end_unmeasured() { --in_flight_; }
+
     [[nodiscard]] double limit() const { return limit_; }
     [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
 
--- a/packages/admission/tests/limits_test.cpp
+++ b/packages/admission/tests/limits_test.cpp
@@ -47,6 +47,15 @@
     CHECK(limit.limit() <= 20.0);
 }
 
+TEST_CASE("a request that ends without a sample frees its place and leaves the limit as it is") {
+    concurrency_limit<> limit{{1.0, 1.0, 100.0}};
+    limit.on_start();
+    CHECK_FALSE(limit.has_room());
+    limit.on_end_unmeasured();
+    CHECK(limit.has_room());
+    CHECK(limit.limit() == 1.0);
+}
+
 TEST_CASE("slots go to the earliest deadline and never to more requests than there are slots") {
     kernel::manual_clock clock;
     slot_queue tested{clock, {1, 8, milliseconds{2}}};
--- a/packages/daemon/caller_module.cpp
+++ b/packages/daemon/caller_module.cpp
@@ -1,17 +1,13 @@
-#include <spdlog/spdlog.h>
-
-#include <boost/json.hpp>
+#include <algorithm>
 #include <memory>
 #include <vector>
 
-#include "daemon/entry_gate.h"
+#include "daemon/entry_gates.h"
 #include "daemon/request_ids.h"
 #include "daemon/search_workers.h"
 #include "daemon/tier_state_publisher.h"
 #include "kernel/module_registration.h"
-#include "kernel/state_registry.h"
 #include "runtime/route_table.h"
-#include "runtime/thread_set.h"
 #include "wire/caller_json.h"
 
 namespace poplarfront::daemon {
@@ -25,8 +21,11 @@
 class search_entry {
 public:
     search_entry(std::shared_ptr<search_worker> worker, std::shared_ptr<request_ids> ids,
-                 std::shared_ptr<tier_state_publisher> publisher)
-        : worker_(std::move(worker)), ids_(std::move(ids)), publisher_(std::move(publisher)) {}
+                 std::shared_ptr<tier_state_publisher> publisher, std::shared_ptr<entry_gate> gate)
+        : worker_(std::move(worker)),
+          ids_(std::move(ids)),
+          publisher_(std::move(publisher)),
+          gate_(std::move(gate)) {}
 
     runtime::http_response serve(const runtime::http_request& request) {
         const auto now = std::chrono::steady_clock::now();
@@ -51,26 +50,16 @@
         return search ? admit(*search, *state) : refusal;
     }
 
-    [[nodiscard]] const std::shared_ptr<search_worker>& worker() const { return worker_; }
-
-    [[nodiscard]] boost::json::object dump() const {
-        return {{"waiting", gate_.waiting()},
-                {"in_flight", gate_.in_flight()},
-                {"limit", gate_.limit()},
-                {"refused", refused_}};
-    }
-
 private:
     runtime::http_response admit(const model::search_request& search, const tier_state& state) {
-        gate_.apply(*state.configuration, state.instances.working().size());
-        const auto refused = gate_.acquire(search.searcher, search.services, search.deadline);
+        gate_->apply(*state.configuration, state.instances.working().size());
+        const auto refused = gate_->acquire(search.searcher, search.services, search.deadline);
         if (refused) {
-            ++refused_;
             return {too_many_requests, wire::encode_refusal("overloaded", "", to_string(*refused))};
         }
         const auto start = std::chrono::steady_clock::now();
         const auto answer = worker_->search(search);
-        gate_.release(std::chrono::steady_clock::now() - start, was_shed(answer));
+        gate_->release(std::chrono::steady_clock::now() - start, was_shed(answer));
         return {200, wire::encode_answer(answer)};
     }
 
@@ -82,15 +71,14 @@
     std::shared_ptr<search_worker> worker_;
     std::shared_ptr<request_ids> ids_;
     std::shared_ptr<tier_state_publisher> publisher_;
-    entry_gate gate_;
-    std::uint64_t refused_ = 0;
+    std::shared_ptr<entry_gate> gate_;
 };
 
 /// Serves `POST /v1/search`.
 class caller_module {
 public:
     static kernel::module_descriptor descriptor() {
-        return {"caller", {"runtime", "instance", "tier_state", "search"}, {}};
+        return {"caller", {"runtime", "instance", "tier_state", "search", "admission"}, {}};
     }
 
     static kernel::result<std::shared_ptr<caller_module>> create(kernel::module_context& context) {
@@ -98,21 +86,17 @@
         const auto publisher = context.require<tier_state_publisher>();
         const auto ids = std::make_shared<request_ids>(*context.require<const instance_identity>());
         context.provide(ids);
-        for (const auto& worker : context.require<search_workers>()->workers) {
-            module->entries_.push_back(std::make_shared<search_entry>(worker, ids, publisher));
+        const auto& workers = context.require<search_workers>()->workers;
+        const auto& gates = context.require<entry_gates>()->gates;
+        for (std::size_t i = 0; i < workers.size(); ++i) {
+            module->entries_.push_back(
+                std::make_shared<search_entry>(workers[i], ids, publisher, gates[i]));
         }
         context.require<runtime::caller_routes>()->add(
             "POST", "/v1/search",
             [entries = module->entries_](std::size_t thread, const runtime::http_request& request) {
                 return entries[thread]->serve(request);
             });
-        context.require<kernel::state_registry>()->add("admission", [entries = module->entries_] {
-            boost::json::array parts;
-            for (const auto& entry : entries) {
-                entry->worker()->thread()->run([&] { parts.emplace_back(entry->dump()); });
-            }
-            return boost::json::serialize(parts);
-        });
         return module;
     }
 
--- a/packages/daemon/entry_gate.h
+++ b/packages/daemon/entry_gate.h
@@ -19,7 +19,7 @@
     entry_gate();
 
     /// Suspends the fiber until the request may start. Returns why it is refused; nothing if it may
-    /// start, and then `release` must be called.
+    /// start, and then one of the two releases must be called.
     std::optional<admission::refusal_reason> acquire(const model::searcher_id& searcher,
                                                      std::span<const model::service_id> services,
                                                      kernel::time_point deadline);
@@ -27,12 +27,17 @@
     /// A started request has ended after `latency`; `shed` if it was refused downstream.
     void release(kernel::duration latency, bool shed);
 
+    /// A started request has ended; its latency says nothing about the load of this tier.
+    void release_unmeasured();
+
     /// Puts the shares of a configuration in force, divided among `instances` instances.
     void apply(const configuration::configuration_snapshot& configuration, std::size_t instances);
 
     [[nodiscard]] std::size_t waiting() const { return gate_.waiting(); }
     [[nodiscard]] std::uint32_t in_flight() const { return gate_.limit().in_flight(); }
     [[nodiscard]] double limit() const { return gate_.limit().limit(); }
+    /// Requests refused so far.
+    [[nodiscard]] std::uint64_t refused() const { return refused_; }
 
 private:
     using decision = std::optional<admission::refusal_reason>;
@@ -57,6 +62,7 @@
     decisions decisions_;
     admission::admission_gate<kernel::system_clock_source, decisions> gate_;
     std::uint64_t last_id_ = 0;
+    std::uint64_t refused_ = 0;
     model::revision revision_;
     std::size_t instances_ = 0;
 };
--- a/packages/daemon/internal/entry_gate.cpp
+++ b/packages/daemon/internal/entry_gate.cpp
@@ -51,13 +51,19 @@
            boost::fibers::future_status::ready) {
         gate_.on_timer();
     }
-    return future.get();
+    const auto decided = future.get();
+    refused_ += decided ? 1 : 0;
+    return decided;
 }
 
 void entry_gate::release(kernel::duration latency, bool shed) {
     gate_.on_end({latency, shed});
 }
 
+void entry_gate::release_unmeasured() {
+    gate_.on_end_unmeasured();
+}
+
 void entry_gate::apply(const configuration::configuration_snapshot& configuration,
                        std::size_t instances) {
     const auto parts = std::max<std::size_t>(instances, 1);
