--- a/packages/daemon/entry_module.cpp
+++ b/packages/daemon/entry_module.cpp
@@ -17,7 +17,7 @@
         constexpr std::int64_t max_connections = 100'000;
         constexpr std::int64_t max_drain_ms = 600'000;
         return {"entry",
-                {"runtime", "caller"},
+                {"runtime", "caller", "actions"},
                 {{"listen", "callers", kernel::setting_kind::address, 0, 0, std::nullopt,
                   "IP:PORT for callers"},
                  {"listen", "max_connections", kernel::setting_kind::integer, 1, max_connections,
--- a/packages/daemon/internal/backend_caller.cpp
+++ b/packages/daemon/internal/backend_caller.cpp
@@ -138,6 +138,12 @@
         return reply;
     }
     const auto start = now();
+    // A pause while waiting for the slot may have outlasted the deadline; an idle connection would
+    // still carry the action.
+    if (start >= action.deadline) {
+        found->gate->release(std::nullopt);
+        return reply;
+    }
     const auto result = client_->call(
         found->address, {"POST", "/action", wire::encode_backend_action(action, start)},
         action.deadline, found->connections);
--- a/packages/daemon/search_worker.h
+++ b/packages/daemon/search_worker.h
@@ -51,6 +51,9 @@
     /// Takes a query that another instance has put into quarantine.
     void import_quarantined(routing::query_fingerprint query);
 
+    /// Takes a backend server that replied that it is draining.
+    void on_draining(const model::server_id& server) { environment_.on_draining(server); }
+
     [[nodiscard]] backend_caller& backends() { return backends_; }
     [[nodiscard]] const std::shared_ptr<runtime::fiber_thread>& thread() const { return thread_; }
     /// Batches and searches under way.
