Make the search path of the daemon hold under resends and quarantine

Findings of reading the decision code against the glue: - A caller's request id became the internal one; the same id through two instances made attempts collide on an owner. Ids are now made inside. - A quarantine learned from another instance did not end open searches; they are now woken. - A service removed between the check and the plan left an answer that seemed complete; it is now reported as missing. - The policy section's budgets and hedge bounds were not applied. - An owner's crashed backend servers were not told to the entry instance. - An older process of the same name now stops itself.

--- a/packages/daemon/caller_module.cpp
+++ b/packages/daemon/caller_module.cpp
@@ -58,11 +58,25 @@
             return {too_many_requests, wire::encode_refusal("overloaded", "", to_string(*refused))};
         }
         const auto start = std::chrono::steady_clock::now();
-        const auto answer = worker_->search(search);
+        auto answer = worker_->search(internal(search, start));
+        answer.request = search.request;
         gate_->release(std::chrono::steady_clock::now() - start, was_shed(answer));
         return {200, wire::encode_answer(answer)};
     }
 
+    /// The request as the tier executes it. Its id is made here, because a caller may send one id
+    /// through several instances, whose attempts would then collide on an owner.
+    [[nodiscard]] model::search_request internal(const model::search_request& search,
+                                                 kernel::time_point now) const {
+        // The way back to the caller takes about 1 ms; short deadlines give a tenth.
+        constexpr kernel::duration longest_margin = std::chrono::milliseconds{2};
+        constexpr int margin_part = 10;
+        auto request = search;
+        request.request = ids_->next();
+        request.deadline -= std::min(longest_margin, (search.deadline - now) / margin_part);
+        return request;
+    }
+
     static bool was_shed(const model::search_answer& answer) {
         return std::any_of(answer.shards.begin(), answer.shards.end(),
                            [](const auto& it) { return it.reason == model::missing_reason::shed; });
--- a/packages/daemon/internal/membership_agent.cpp
+++ b/packages/daemon/internal/membership_agent.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <csignal>
+
 namespace poplarfront::daemon {
 namespace {
 
@@ -66,6 +68,11 @@
 }
 
 void membership_agent::after_step() {
+    if (table_.superseded() && !stop_requested_) {
+        stop_requested_ = true;
+        spdlog::critical("another process runs under the name of this instance; stopping");
+        std::raise(SIGTERM);
+    }
     if (auto view = table_.take_changed_view()) {
         publisher_->on_instances(std::move(*view));
     }
--- a/packages/daemon/internal/search_worker.cpp
+++ b/packages/daemon/internal/search_worker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <limits>
 
 #include "metrics/metrics_json.h"
 #include "routing/batch_call.h"
@@ -81,19 +82,39 @@
 }
 
 void search_worker::apply_policy(const tier_state& state) {
-    const auto& policy = state.configuration->policy;
-    policy_.canary_shards =
-        policy.canary.width == 0 ? std::numeric_limits<std::size_t>::max() : policy.canary.width;
-    policy_.canary_wait = std::chrono::milliseconds{policy.canary.wait_ms};
     const auto now = clock_.now();
     for (const auto& server : state.draining) {
         replicas_.mark_draining(server, now);
     }
-    const auto revision = state.configuration->shard_map.map_revision();
-    if (revision != map_revision_) {
-        map_revision_ = revision;
-        versions_.retain(state.configuration->shard_map);
+    const auto& configuration = *state.configuration;
+    if (configuration.revision == configuration_revision_) {
+        return;
     }
+    configuration_revision_ = configuration.revision;
+    versions_.retain(configuration.shard_map);
+    const auto& canary = configuration.policy.canary;
+    policy_.canary_shards =
+        canary.width == 0 ? std::numeric_limits<std::size_t>::max() : canary.width;
+    policy_.canary_wait = std::chrono::milliseconds{canary.wait_ms};
+    apply_retry_policy(configuration.policy.retry);
+}
+
+void search_worker::apply_retry_policy(const configuration::retry_policy& policy) {
+    constexpr double percent = 100.0;
+    // Attempts get four fifths: a resent batch repeats all its shards, so it is the rarer remedy.
+    constexpr double attempt_part = 0.8;
+    const auto options = [&](double part, retry::retry_budget_options of) {
+        of.steady_ratio = part * policy.steady_percent / percent;
+        of.fault_ratio = part * policy.fault_percent / percent;
+        return of;
+    };
+    attempt_budget_ = retry::retry_budget{options(attempt_part, routing::attempt_budget_options())};
+    batch_budget_ =
+        retry::retry_budget{options(1.0 - attempt_part, routing::batch_budget_options())};
+    retry::hedge_policy_options hedge;
+    hedge.shortest = std::chrono::milliseconds{policy.minimum_delay_ms};
+    hedge.longest = std::chrono::milliseconds{policy.maximum_delay_ms};
+    attempt_hedge_ = retry::hedge_policy{hedge};
 }
 
 model::search_answer search_worker::search(const model::search_request& request) {
@@ -102,6 +123,7 @@
     apply_policy(*environment_.state());
     const auto mailbox = std::make_shared<session_mailbox>();
     environment_.pending->add(request.request, mailbox);
+    searching_.insert(mailbox);
     function_transport transport{
         [&](const auto& owner, const auto& batch) { send_batch(owner, batch, mailbox); },
         [&](const auto& owner, const auto& batch) { cancel_batch(owner, batch); }};
@@ -114,11 +136,15 @@
             session.on_timer();
         } else if (const auto* result = std::get_if<routing::sub_query_result>(&*event)) {
             session.on_result(*result);
+            announce_quarantined();
+        } else if (const auto* lost = std::get_if<owner_lost>(&*event)) {
+            session.on_owner_lost(lost->owner);
         } else {
-            session.on_owner_lost(std::get<owner_lost>(*event).owner);
+            session.on_timer();
         }
     }
     environment_.pending->remove(request.request);
+    searching_.erase(mailbox);
     search_latency_.record(clock_.now() - start);
     counts_.add(session.answer()->complete() ? "complete" : "incomplete");
     return *session.answer();
@@ -128,10 +154,17 @@
     const auto state = environment_.state();
     const auto& map = state->configuration->shard_map;
     std::vector<model::service_id> known;
-    std::copy_if(request.services.begin(), request.services.end(), std::back_inserter(known),
-                 [&](const auto& service) { return map.find_service(service) != nullptr; });
-    const auto shards = map.shards_of(known);
     routing::query_plan plan;
+    for (const auto& service : request.services) {
+        if (map.find_service(service) != nullptr) {
+            known.push_back(service);
+        } else {
+            // The service was removed after the request was checked: without a missing shard the
+            // answer would seem complete.
+            plan.groups.push_back({{{service, model::shard_id::trusted("unknown")}}, {}});
+        }
+    }
+    const auto shards = map.shards_of(known);
     plan.snapshot = {map.map_revision(),
                      versions_.choose(map, shards).value_or(model::index_version{})};
     std::map<std::size_t, std::vector<model::shard_ref>> by_group;
@@ -214,27 +247,23 @@
     };
     routing::batch_call call{clock_, transport, context(), batch, replicas_of};
     const batch_key key{batch.request, batch.batch};
-    running_[key] = [&] {
-        call.cancel();
-        replies->push(std::nullopt);
-    };
+    const auto wake = [&] { replies->push(std::nullopt); };
+    running_[key] = {[&] {
+                         call.cancel();
+                         wake();
+                     },
+                     wake};
     call.start();
     while (!call.result()) {
         const auto event = replies->pop_until(call.next_timer());
         if (event && *event) {
             call.on_reply(**event);
+            announce_quarantined();
         } else {
             call.on_timer();
         }
     }
     running_.erase(key);
-    for (const auto& change : quarantine_.take_changes(clock_.now())) {
-        if (change.quarantined) {
-            spdlog::warn("request={} quarantined a query that crashes backend servers",
-                         batch.request.text());
-            environment_.on_quarantined(change.fingerprint);
-        }
-    }
     return *call.result();
 }
 
@@ -247,12 +276,37 @@
 
 void search_worker::cancel(const model::request_id& request, std::uint32_t batch) {
     if (const auto it = running_.find({request, batch}); it != running_.end()) {
-        it->second();
+        it->second.cancel();
     }
 }
 
 void search_worker::import_quarantined(routing::query_fingerprint query) {
     quarantine_.import({query, {}, true}, clock_.now());
+    wake_all();
+}
+
+void search_worker::announce_quarantined() {
+    bool changed = false;
+    for (const auto& change : quarantine_.take_changes(clock_.now())) {
+        if (change.quarantined) {
+            changed = true;
+            spdlog::warn("quarantined a query that crashes backend servers: fingerprint={:x}",
+                         change.fingerprint);
+            environment_.on_quarantined(change.fingerprint);
+        }
+    }
+    if (changed) {
+        wake_all();
+    }
+}
+
+void search_worker::wake_all() {
+    for (const auto& [key, batch] : running_) {
+        batch.wake();
+    }
+    for (const auto& mailbox : searching_) {
+        mailbox->push(quarantine_changed{});
+    }
 }
 
 std::string search_worker::dump() const {
--- a/packages/daemon/membership_agent.h
+++ b/packages/daemon/membership_agent.h
@@ -61,6 +61,8 @@
     void listen_quarantined(std::function<void(std::uint64_t)> listener) {
         quarantine_listener_ = std::move(listener);
     }
+    /// Takes a sign of life that traffic gave.
+    void on_traffic(const model::instance_id& instance) { table_.on_traffic(instance); }
     /// Tells peers of a start.
     void announce() { table_.announce(); }
     /// Tells peers that this instance leaves.
@@ -82,6 +84,7 @@
     std::shared_ptr<tier_state_publisher> publisher_;
     table_type table_;
     std::function<void(std::uint64_t)> quarantine_listener_;
+    bool stop_requested_ = false;
 };
 
 }  // namespace poplarfront::daemon
--- a/packages/daemon/pending_batches.h
+++ b/packages/daemon/pending_batches.h
@@ -18,7 +18,12 @@
     friend auto operator<=>(const owner_lost&, const owner_lost&) = default;
 };
 
-using session_event = std::variant<routing::sub_query_result, owner_lost>;
+/// Queries were put into quarantine.
+struct quarantine_changed {
+    friend auto operator<=>(const quarantine_changed&, const quarantine_changed&) = default;
+};
+
+using session_event = std::variant<routing::sub_query_result, owner_lost, quarantine_changed>;
 using session_mailbox = runtime::mailbox<session_event>;
 
 /// The mailboxes of the searches that wait for results of other instances, by request.
--- a/packages/daemon/search_module.cpp
+++ b/packages/daemon/search_module.cpp
@@ -1,6 +1,7 @@
 #include <spdlog/spdlog.h>
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -49,6 +50,7 @@
             module->workers_->workers.push_back(search_worker::create(thread, environment));
         }
         context.provide(module->workers_);
+        module->membership_ = membership;
         module->connect(membership);
         context.require<kernel::state_registry>()->add(
             "search", [workers = module->workers_] { return dump(*workers); });
@@ -109,6 +111,18 @@
             return;
         }
         pending_->deliver(std::move(result.value()));
+        report_traffic(message.sender);
+    }
+
+    /// Passes signs of life to the membership, at most four a second of one instance.
+    void report_traffic(const model::instance_id& sender) {
+        constexpr auto report_interval = std::chrono::milliseconds{250};
+        const auto now = std::chrono::steady_clock::now();
+        auto& reported = traffic_reported_[sender];
+        if (now - reported >= report_interval) {
+            reported = now;
+            membership_->post([sender](membership_agent& it) { it.on_traffic(sender); });
+        }
     }
 
     void on_cancel(const wire::envelope& message) {
@@ -143,6 +157,9 @@
     std::shared_ptr<tier_state_publisher> publisher_;
     std::shared_ptr<pending_batches> pending_;
     std::shared_ptr<search_workers> workers_;
+    std::shared_ptr<membership_loop> membership_;
+    /// Used on the first traffic thread only.
+    std::map<model::instance_id, kernel::time_point> traffic_reported_;
 };
 
 const kernel::module_registration<search_module> registration;
--- a/packages/daemon/search_worker.h
+++ b/packages/daemon/search_worker.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "daemon/backend_caller.h"
@@ -64,6 +65,12 @@
 private:
     using batch_key = std::pair<model::request_id, std::uint32_t>;
 
+    /// How a batch under way is reached from outside its fiber.
+    struct running_batch {
+        std::function<void()> cancel;
+        std::function<void()> wake;
+    };
+
     search_worker(std::shared_ptr<runtime::fiber_thread> thread, search_environment environment);
 
     routing::query_plan plan(const model::search_request& request) const;
@@ -73,7 +80,10 @@
     [[nodiscard]] std::vector<model::instance_id> ordered_owners(
         const tier_state& state, std::span<const model::instance_id> owners) const;
     void apply_policy(const tier_state& state);
+    void apply_retry_policy(const configuration::retry_policy& policy);
     void report(const model::attempt_reply& reply);
+    void announce_quarantined();
+    void wake_all();
     routing::routing_context context();
 
     std::shared_ptr<runtime::fiber_thread> thread_;
@@ -83,16 +93,17 @@
     kernel::seeded_random_source random_;
     routing::routing_policy policy_;
     routing::replica_stats replicas_;
-    retry::retry_budget attempt_budget_;
+    retry::retry_budget attempt_budget_{routing::attempt_budget_options()};
     retry::hedge_policy attempt_hedge_;
     routing::owner_stats owners_;
-    retry::retry_budget batch_budget_;
-    retry::hedge_policy batch_hedge_;
+    retry::retry_budget batch_budget_{routing::batch_budget_options()};
+    retry::hedge_policy batch_hedge_{routing::batch_hedge_options()};
     routing::crash_quarantine quarantine_;
     snapshot::version_tracker versions_;
     routing::routing_counters counters_;
-    std::map<batch_key, std::function<void()>> running_;
-    model::revision map_revision_;
+    std::map<batch_key, running_batch> running_;
+    std::set<std::shared_ptr<session_mailbox>> searching_;
+    model::revision configuration_revision_;
     std::size_t in_flight_ = 0;
     metrics::latency_histogram search_latency_;
     metrics::latency_histogram attempt_latency_;
--- a/packages/wire/internal/traffic_codec.cpp
+++ b/packages/wire/internal/traffic_codec.cpp
@@ -56,6 +56,9 @@
         out.set_newest_version(result.versions->newest.value);
     }
     out.set_crash_symptom(result.crash_symptom);
+    for (const auto& server : result.crashed) {
+        out.add_crashed(server.text());
+    }
 }
 
 kernel::result<routing::shard_result> shard_result_of(const proto::ShardResult& in) {
@@ -73,6 +76,10 @@
         result.versions = model::version_range{{in.oldest_version()}, {in.newest_version()}};
     }
     result.crash_symptom = in.crash_symptom();
+    for (const auto& server : in.crashed()) {
+        BOOST_LEAF_AUTO(id, checked<model::server_id>(server, "crashed"));
+        result.crashed.push_back(std::move(id));
+    }
     return result;
 }
 
--- a/packages/wire/tests/peer_test.cpp
+++ b/packages/wire/tests/peer_test.cpp
@@ -55,11 +55,13 @@
     REQUIRE(decoded);
     CHECK(decoded.value() == batch);
 
-    const routing::sub_query_result result{
+    routing::sub_query_result result{
         batch.request,
         2,
         batch.searcher,
         {{shard, model::missing_reason::none, {4}, {{"k", "b"}}, model::version_range{{3}, {4}}}}};
+    result.shards.front().crash_symptom = true;
+    result.shards.front().crashed = {model::server_id::trusted("s1")};
     const auto back = decode_batch_result(encode_batch_result(result));
     REQUIRE(back);
     CHECK(back.value() == result);
