--- a/packages/daemon/internal/search_worker.cpp
+++ b/packages/daemon/internal/search_worker.cpp
@@ -132,15 +132,13 @@
     session.start();
     while (!session.answer()) {
         const auto event = mailbox->pop_until(session.next_timer());
-        if (!event) {
+        if (!event || std::holds_alternative<quarantine_changed>(*event)) {
             session.on_timer();
         } else if (const auto* result = std::get_if<routing::sub_query_result>(&*event)) {
             session.on_result(*result);
             announce_quarantined();
-        } else if (const auto* lost = std::get_if<owner_lost>(&*event)) {
-            session.on_owner_lost(lost->owner);
         } else {
-            session.on_timer();
+            session.on_owner_lost(std::get<owner_lost>(*event).owner);
         }
     }
     environment_.pending->remove(request.request);
