Decode the platform's list of instances in one header

platform_list.h and instance_list.h decoded the same store value, and its key was stated twice. platform_list.h now has the key and both decoders.

--- a/packages/daemon/configuration_module.cpp
+++ b/packages/daemon/configuration_module.cpp
@@ -26,7 +26,6 @@
 using reader_type =
     configuration::store_reader<store::http_store_client, wire::configuration_store_codec>;
 
-const std::string platform_list_key = "platform/instances";
 constexpr auto store_call_limit = milliseconds{1000};
 /// A stop waits for the open watch, so it is short.
 constexpr auto watch_limit = seconds{2};
@@ -120,7 +119,7 @@
     }
 
     void read_platform_list() {
-        const auto outcome = client_->read(platform_list_key, in(store_call_limit));
+        const auto outcome = client_->read(wire::platform_list_key, in(store_call_limit));
         if (outcome.status != store::store_status::ok || outcome.value.version == 0) {
             return;
         }
--- a/packages/wire/platform_list.h
+++ b/packages/wire/platform_list.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -9,11 +10,18 @@
 
 namespace poplarfront::wire {
 
-/// Decodes the platform's list of instances:
+/// The store key of the platform's list of instances, a JSON object
 /// `{"instances": [{"instance", "data_centre", "peer_address", "operator_address",
-/// "status": "live" or "leaving"}]}`. Entries that are malformed are left out, so that one of them
-/// does not hide the others.
+/// "status": "live" or "leaving"}]}`.
+inline const std::string platform_list_key = "platform/instances";
+
+/// The instances of the platform's list. Entries that are malformed are left out, so that one of
+/// them does not hide the others.
 /// Errors: wire_error if the whole is malformed. Thread-safe.
 kernel::result<std::vector<membership::platform_entry>> decode_platform_list(std::string_view body);
 
+/// The operator addresses of the platform's list. Entries without one are left out.
+/// Errors: wire_error if the whole is malformed. Thread-safe.
+kernel::result<std::vector<std::string>> decode_operator_addresses(std::string_view body);
+
 }  // namespace poplarfront::wire
