Serve new searches for a while when an instance stops

Cause: a stop closed the caller listener at once, while a load balancer that lags goes on sending. drain_ms also counted once for each traffic thread. Change: [listen] stop_delay_ms (default 5000) keeps the listener open after SIGTERM while /healthz says 503; drain_ms bounds delay and drain of all traffic threads together.

--- a/packages/daemon/entry_module.cpp
+++ b/packages/daemon/entry_module.cpp
@@ -1,4 +1,7 @@
+#include <algorithm>
+#include <chrono>
 #include <memory>
+#include <thread>
 #include <vector>
 
 #include "kernel/module_registration.h"
@@ -23,7 +26,10 @@
                  {"listen", "max_connections", kernel::setting_kind::integer, 1, max_connections,
                   "1024", "caller connections for each traffic thread"},
                  {"listen", "drain_ms", kernel::setting_kind::integer, 0, max_drain_ms, "60000",
-                  "longest time that a stop waits for requests in flight, in ms"}}};
+                  "longest time that a stop takes for callers, stop_delay_ms included, in ms"},
+                 {"listen", "stop_delay_ms", kernel::setting_kind::integer, 0, max_drain_ms, "5000",
+                  "how long a stop goes on serving new requests, in ms; the load balancer must "
+                  "notice the failing health check in this time"}}};
     }
 
     static kernel::result<std::shared_ptr<entry_module>> create(kernel::module_context& context) {
@@ -35,6 +41,9 @@
         module->options_.max_connections =
             static_cast<std::size_t>(settings.integer("listen", "max_connections"));
         module->drain_ = std::chrono::milliseconds{settings.integer("listen", "drain_ms")};
+        module->delay_ = std::min(
+            module->drain_, kernel::duration{std::chrono::milliseconds{
+                                settings.integer("listen", "stop_delay_ms")}});
         return module;
     }
 
@@ -47,9 +56,15 @@
             });
     }
 
+    /// Serves on until the load balancer has noticed the stop, because a connection that is refused
+    /// earlier is a lost request. Then answers what is in flight.
     void stop() {
+        const auto end = std::chrono::steady_clock::now() + drain_;
+        if (!servers_.empty()) {
+            std::this_thread::sleep_for(delay_);
+        }
         for (const auto& server : servers_) {
-            server->stop(drain_);
+            server->stop(std::max(end - std::chrono::steady_clock::now(), kernel::duration::zero()));
         }
     }
 
@@ -70,6 +85,7 @@
     std::shared_ptr<runtime::caller_routes> routes_;
     runtime::http_server_options options_;
     kernel::duration drain_{0};
+    kernel::duration delay_{0};
     std::vector<std::unique_ptr<runtime::http_server>> servers_;
 };
 
--- a/tests/processes/tier.cpp
+++ b/tests/processes/tier.cpp
@@ -120,15 +120,17 @@
 
 void tier::wait_until_ready() const {
     for (std::size_t viewer = 0; viewer < instances_.size(); ++viewer) {
-        INFO("instance " << viewer << ": " << instances_[viewer]->output());
-        REQUIRE(eventually(ready_limit, [&] {
+        const bool ready = eventually(ready_limit, [&] {
             for (std::size_t n = 0; n < instances_.size(); ++n) {
                 if (status_seen(viewer, n) != "alive") {
                     return false;
                 }
             }
             return !options_.publish || revision(viewer) >= 2;
-        }));
+        });
+        INFO("instance " << viewer << ": " << instances_[viewer]->output() << "\n"
+                         << get(operator_address(viewer), "/state"));
+        REQUIRE(ready);
     }
 }
 
@@ -177,7 +179,7 @@
                        "\ndata_centre = howrah\ndeployment = " + deployment +
                        "\n\n[listen]\ncallers = " + caller_address(n) +
                        "\npeers = " + peer_address(n) + "\noperators = " + operator_address(n) +
-                       "\ndrain_ms = 5000\n\n[store]\naddress = " + store_address() + "\n";
+                       "\ndrain_ms = 5000\nstop_delay_ms = 1500\n\n[store]\naddress = " + store_address() + "\n";
     if (seeds > 0) {
         text += "\n[peers]\nseeds = ";
         for (std::size_t i = 0; i < seeds; ++i) {
