--- a/tools/bench/report.cpp
+++ b/tools/bench/report.cpp
@@ -150,6 +150,16 @@
                   it.broken.size());
 }
 
+std::string to_details(const measured_run& run) {
+    std::string text;
+    for (const auto* counts : {&run.result.missing, &run.result.refusals}) {
+        for (const auto& [reason, n] : *counts) {
+            text += "  " + reason + ": " + std::to_string(n);
+        }
+    }
+    return text.empty() || run.policy == "baseline" ? "" : "   " + text + "\n";
+}
+
 std::vector<target_check> check_targets(const std::vector<measured_run>& runs) {
     std::vector<std::string> names;
     for (const auto& it : runs) {
--- a/tools/bench/report.h
+++ b/tools/bench/report.h
@@ -29,6 +29,8 @@
 
 [[nodiscard]] std::string table_header();
 [[nodiscard]] std::string to_line(const measured_run& run);
+/// Missing shards and refused requests by reason; empty for the baseline.
+[[nodiscard]] std::string to_details(const measured_run& run);
 /// Compares the runs of the policy `direct` with the targets.
 [[nodiscard]] std::vector<target_check> check_targets(const std::vector<measured_run>& runs);
 [[nodiscard]] std::string to_line(const target_check& check);
--- a/tools/bench/run_types.h
+++ b/tools/bench/run_types.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -62,6 +63,10 @@
     double goodput_per_s = 0;
     /// Lowest part of min(offered, guaranteed) that a searcher got there.
     double lowest_share = 0;
+    /// Missing shards by reason.
+    std::map<std::string, std::uint64_t> missing;
+    /// Refused requests by searcher and reason.
+    std::map<std::string, std::uint64_t> refusals;
     /// Promises that were broken.
     std::set<std::string> broken;
 
--- a/tools/bench/tier.h
+++ b/tools/bench/tier.h
@@ -50,7 +50,7 @@
             return world.plan(index, request);
         }
         void start(std::uint64_t query) { world.start_query(index, query); }
-        void refuse(const admission::refusal& refused) { world.refuse_query(refused.id); }
+        void refuse(const admission::refusal& refused) { world.refuse_query(refused); }
     };
 
     using clock_type = kernel::manual_clock;
@@ -172,7 +172,7 @@
 
     void arrive(std::size_t preferred, query_state query);
     void start_query(std::size_t index, std::uint64_t query);
-    void refuse_query(std::uint64_t query);
+    void refuse_query(const admission::refusal& refused);
     void settle_query(std::size_t index, std::uint64_t query);
     void watch_gate(std::size_t index);
     void end_query(std::size_t index, std::uint64_t query);
