--- a/packages/routing/tests/simulation.cpp
+++ b/packages/routing/tests/simulation.cpp
@@ -89,8 +89,43 @@
     if (!options_.faults) {
         return;
     }
-    const auto slow = random_.next() % server_count;
-    after(between(300, 900), [this, slow] { servers_[slow].slow_until = clock_.now() + 1s; });
+    if (scheduled(simulated_fault::slow_server)) {
+        const auto slow = random_.next() % server_count;
+        after(between(300, 900), [this, slow] { servers_[slow].slow_until = clock_.now() + 1s; });
+    }
+    if (scheduled(simulated_fault::draining_server)) {
+        schedule_drain();
+    }
+    if (scheduled(simulated_fault::repartition)) {
+        schedule_repartition();
+    }
+    if (scheduled(simulated_fault::shedding)) {
+        after(2800, [this] { shed_rate_ = 0.3; });
+        after(3300, [this] { shed_rate_ = 0.005; });
+    }
+    if (scheduled(simulated_fault::lost_results)) {
+        after(2800, [this] { result_loss_ = 0.3; });
+        after(3300, [this] { result_loss_ = 0.003; });
+    }
+    if (scheduled(simulated_fault::frozen_instance)) {
+        const auto frozen = random_.next() % instance_count;
+        after(between(2500, 3000),
+              [this, frozen] { nodes_[frozen]->frozen_until = clock_.now() + 250ms; });
+    }
+    if (scheduled(simulated_fault::lost_instance)) {
+        schedule_lost_instance();
+    }
+    if (scheduled(simulated_fault::crashed_server)) {
+        const auto dying = random_.next() % server_count;
+        after(between(4200, 4600), [this, dying] { crash(dying); });
+    }
+    for (int it = 0; scheduled(simulated_fault::killer_query) && it < 5; ++it) {
+        after(200 + 250 * it + between(0, 100),
+              [this] { submit(random_.next() % instance_count, killer); });
+    }
+}
+
+void simulation::schedule_drain() {
     const auto draining = random_.next() % server_count;
     after(between(500, 1500), [this, draining] {
         servers_[draining].drain_notice = clock_.now();
@@ -103,6 +138,9 @@
             });
         }
     });
+}
+
+void simulation::schedule_repartition() {
     const auto repartition = between(1600, 2400);
     for (std::size_t it = 0; it < server_count; ++it) {
         after(repartition + between(0, 20), [this, it] { servers_[it].map = 2; });
@@ -110,13 +148,9 @@
     for (std::size_t it = 0; it < instance_count; ++it) {
         after(repartition + between(0, 30), [this, it] { nodes_[it]->known_map = 2; });
     }
-    after(2800, [this] { shed_rate_ = 0.3; });
-    after(3300, [this] { shed_rate_ = 0.005; });
-    after(2800, [this] { result_loss_ = 0.3; });
-    after(3300, [this] { result_loss_ = 0.003; });
-    const auto frozen = random_.next() % instance_count;
-    after(between(2500, 3000),
-          [this, frozen] { nodes_[frozen]->frozen_until = clock_.now() + 250ms; });
+}
+
+void simulation::schedule_lost_instance() {
     const auto lost = random_.next() % instance_count;
     after(between(3500, 3900), [this, lost] {
         nodes_[lost]->frozen_until = kernel::time_point::max();
@@ -130,12 +164,6 @@
             });
         }
     });
-    const auto dying = random_.next() % server_count;
-    after(between(4200, 4600), [this, dying] { crash(dying); });
-    for (int it = 0; it < 5; ++it) {
-        after(200 + 250 * it + between(0, 100),
-              [this] { submit(random_.next() % instance_count, killer); });
-    }
 }
 
 void simulation::schedule_queries() {
--- a/packages/routing/tests/simulation.h
+++ b/packages/routing/tests/simulation.h
@@ -13,6 +13,18 @@
 
 namespace poplarfront::routing {
 
+enum class simulated_fault {
+    slow_server,
+    draining_server,
+    crashed_server,
+    repartition,
+    shedding,
+    lost_results,
+    frozen_instance,
+    lost_instance,
+    killer_query,
+};
+
 struct simulation_options {
     std::uint64_t seed = 1;
     routing_policy policy;
@@ -20,6 +32,9 @@
     retry::retry_budget_options batch_budget = batch_budget_options();
     /// Whether anything fails at all.
     bool faults = true;
+    /// The faults that are scheduled; all if empty. Lost, late and duplicated replies, and single
+    /// sheds, occur in any case.
+    std::set<simulated_fault> only = {};
     /// Whether one backend server is 10 times slower throughout.
     bool straggler = false;
 };
@@ -131,6 +146,9 @@
         const bool happens = kernel::uniform_unit(random_) < probability;
         return options_.faults && happens;
     }
+    [[nodiscard]] bool scheduled(simulated_fault which) const {
+        return options_.only.empty() || options_.only.contains(which);
+    }
     void at(kernel::time_point when, std::function<void()> event) {
         events_.emplace(std::max(when, clock_.now()), std::move(event));
     }
@@ -167,6 +185,9 @@
 
     query_plan plan(std::size_t index, const model::search_request& request);
     void schedule_faults();
+    void schedule_drain();
+    void schedule_repartition();
+    void schedule_lost_instance();
     void schedule_queries();
     void submit(std::size_t index, const std::string& query);
     void send_batch(std::size_t from, const model::instance_id& owner,
