--- a/packages/wire/internal/configuration_codec.cpp
+++ b/packages/wire/internal/configuration_codec.cpp
@@ -4,6 +4,7 @@
 
 #include "wire/generated/configuration.pb.h"
 #include "wire/internal/json_fields.h"
+#include "wire/internal/proto_fields.h"
 
 namespace poplarfront::wire {
 namespace {
@@ -51,10 +52,7 @@
 }
 
 kernel::result<model::deployment_id> deployment_field(const std::string& text) {
-    if (!model::is_identifier(text)) {
-        return boost::leaf::new_error(wire_error{"deployment", "is not a valid name"});
-    }
-    return model::deployment_id::trusted(text);
+    return internal::checked_identifier<model::deployment_id>(text, "deployment");
 }
 
 kernel::result<configuration::head> from_proto(const proto::Head& in) {
@@ -92,15 +90,6 @@
         [](const wire_error&) { return std::optional<T>{}; });
 }
 
-template <class Message>
-kernel::result<Message> parse(std::string_view bytes) {
-    Message message;
-    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-        return boost::leaf::new_error(wire_error{"", "is not a valid " + message.GetTypeName()});
-    }
-    return message;
-}
-
 void set_body(const configuration::gossip_message& message, proto::ConfigurationMessage& out) {
     auto& gossip = *out.mutable_gossip();
     gossip.set_deployment(message.deployment.text());
@@ -147,7 +136,7 @@
 }
 
 kernel::result<configuration::head> decode_head(std::string_view bytes) {
-    BOOST_LEAF_AUTO(message, parse<proto::Head>(bytes));
+    BOOST_LEAF_AUTO(message, internal::parse_message<proto::Head>(bytes));
     return from_proto(message);
 }
 
@@ -163,7 +152,7 @@
 }
 
 kernel::result<configuration::section_blob> decode_blob(std::string_view bytes) {
-    BOOST_LEAF_AUTO(message, parse<proto::SectionBlob>(bytes));
+    BOOST_LEAF_AUTO(message, internal::parse_message<proto::SectionBlob>(bytes));
     BOOST_LEAF_AUTO(deployment, deployment_field(message.deployment()));
     if (message.part() >= message.parts()) {
         return boost::leaf::new_error(wire_error{"part", "is not less than the number of parts"});
@@ -179,7 +168,7 @@
 }
 
 kernel::result<configuration::delta> decode_delta(std::string_view bytes) {
-    BOOST_LEAF_AUTO(message, parse<proto::Delta>(bytes));
+    BOOST_LEAF_AUTO(message, internal::parse_message<proto::Delta>(bytes));
     return from_proto(message);
 }
 
@@ -196,7 +185,7 @@
 }
 
 kernel::result<configuration::announcement> decode_announcement(std::string_view bytes) {
-    BOOST_LEAF_AUTO(message, parse<proto::Announcement>(bytes));
+    BOOST_LEAF_AUTO(message, internal::parse_message<proto::Announcement>(bytes));
     BOOST_LEAF_AUTO(head, from_proto(message.head()));
     configuration::section_texts texts;
     for (const auto& section : message.sections()) {
@@ -212,10 +201,7 @@
 }
 
 kernel::result<configuration::spread_message> decode_spread(std::string_view bytes) {
-    proto::ConfigurationMessage in;
-    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-        return boost::leaf::new_error(wire_error{"", "payload is malformed"});
-    }
+    BOOST_LEAF_AUTO(in, internal::parse_message<proto::ConfigurationMessage>(bytes));
     if (in.has_gossip()) {
         BOOST_LEAF_AUTO(message, from_proto(in.gossip()));
         return message;
--- a/packages/wire/internal/envelope.cpp
+++ b/packages/wire/internal/envelope.cpp
@@ -1,6 +1,7 @@
 #include "wire/envelope.h"
 
 #include "wire/generated/peer.pb.h"
+#include "wire/internal/proto_fields.h"
 
 namespace poplarfront::wire {
 
@@ -17,10 +18,7 @@
 
 kernel::result<envelope> decode_envelope(std::string_view bytes,
                                          const model::deployment_id& own_deployment) {
-    proto::Envelope in;
-    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-        return boost::leaf::new_error(wire_error{"", "is not an envelope"});
-    }
+    BOOST_LEAF_AUTO(in, internal::parse_message<proto::Envelope>(bytes));
     if (in.protocol_version() == 0 || in.protocol_version() > protocol_version) {
         return boost::leaf::new_error(
             wire_error{"protocol_version",
@@ -29,15 +27,14 @@
     if (in.deployment() != own_deployment.text()) {
         return boost::leaf::new_error(wire_error{"deployment", "message of another deployment"});
     }
-    if (!model::is_identifier(in.sender())) {
-        return boost::leaf::new_error(wire_error{"sender", "is not a valid name"});
-    }
+    BOOST_LEAF_AUTO(sender,
+                    internal::checked_identifier<model::instance_id>(in.sender(), "sender"));
     if (in.kind() < static_cast<std::uint32_t>(message_kind::sub_query_batch) ||
         in.kind() > static_cast<std::uint32_t>(message_kind::configuration)) {
         return boost::leaf::new_error(wire_error{"kind", "is not known"});
     }
     return envelope{own_deployment,
-                    model::instance_id::trusted(in.sender()),
+                    std::move(sender),
                     {in.sender_incarnation()},
                     static_cast<message_kind>(in.kind()),
                     std::move(*in.mutable_payload())};
--- a/packages/wire/internal/gossip_codec.cpp
+++ b/packages/wire/internal/gossip_codec.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "wire/generated/peer.pb.h"
+#include "wire/internal/proto_fields.h"
 
 namespace poplarfront::wire {
 namespace {
@@ -11,13 +12,7 @@
 // Longer than any IP:PORT, so that a peer cannot make the table grow without bound.
 constexpr std::size_t max_address_length = 64;
 
-template <class Identifier>
-kernel::result<Identifier> checked(const std::string& text, const char* field) {
-    if (!model::is_identifier(text)) {
-        return boost::leaf::new_error(wire_error{field, "is not a valid identifier"});
-    }
-    return Identifier::trusted(text);
-}
+using internal::checked_identifier;
 
 void set_member(const model::instance_info& row, proto::MemberUpdate& update) {
     update.set_instance(row.instance.text());
@@ -28,9 +23,10 @@
 }
 
 kernel::result<model::instance_info> get_member(const proto::MemberUpdate& update) {
-    BOOST_LEAF_AUTO(instance, checked<model::instance_id>(update.instance(), "instance"));
+    BOOST_LEAF_AUTO(instance,
+                    checked_identifier<model::instance_id>(update.instance(), "instance"));
     BOOST_LEAF_AUTO(data_centre,
-                    checked<model::data_centre_id>(update.data_centre(), "data_centre"));
+                    checked_identifier<model::data_centre_id>(update.data_centre(), "data_centre"));
     if (update.status() > static_cast<std::uint32_t>(model::instance_status::failed)) {
         return boost::leaf::new_error(wire_error{"status", "is not known"});
     }
@@ -73,7 +69,7 @@
         gossip.members.push_back(std::move(row));
     }
     for (const auto& it : message.draining()) {
-        BOOST_LEAF_AUTO(server, checked<model::server_id>(it.server(), "server"));
+        BOOST_LEAF_AUTO(server, checked_identifier<model::server_id>(it.server(), "server"));
         gossip.draining.push_back(
             {std::move(server), std::chrono::milliseconds{it.remaining_ms()}});
     }
@@ -88,11 +84,7 @@
 }
 
 kernel::result<membership::gossip_message> decode_gossip(std::string_view bytes) {
-    proto::Gossip message;
-    if (bytes.size() > static_cast<std::size_t>(std::numeric_limits<int>::max()) ||
-        !message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-        return boost::leaf::new_error(wire_error{"", "is not a gossip message"});
-    }
+    BOOST_LEAF_AUTO(message, internal::parse_message<proto::Gossip>(bytes));
     return get_gossip(message);
 }
 
--- a/packages/wire/internal/membership_codec.cpp
+++ b/packages/wire/internal/membership_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/generated/peer.pb.h"
 #include "wire/gossip_codec.h"
+#include "wire/internal/proto_fields.h"
 
 namespace poplarfront::wire {
 namespace {
@@ -10,13 +11,6 @@
 using membership::probe_reply;
 using membership::probe_request;
 
-kernel::result<model::instance_id> target_of(const std::string& text) {
-    if (!model::is_identifier(text)) {
-        return boost::leaf::new_error(wire_error{"target", "is not a valid name"});
-    }
-    return model::instance_id::trusted(text);
-}
-
 void set_body(const gossip_body& body, proto::MembershipMessage& out) {
     set_gossip(body.message, body.reply ? *out.mutable_gossip_reply() : *out.mutable_gossip());
 }
@@ -36,11 +30,13 @@
         return gossip_body{in.has_gossip_reply(), std::move(message)};
     }
     if (in.has_probe_request()) {
-        BOOST_LEAF_AUTO(target, target_of(in.probe_request().target()));
+        BOOST_LEAF_AUTO(target, internal::checked_identifier<model::instance_id>(
+                                    in.probe_request().target(), "target"));
         return probe_request{std::move(target)};
     }
     if (in.has_probe_reply()) {
-        BOOST_LEAF_AUTO(target, target_of(in.probe_reply().target()));
+        BOOST_LEAF_AUTO(target, internal::checked_identifier<model::instance_id>(
+                                    in.probe_reply().target(), "target"));
         return probe_reply{std::move(target), in.probe_reply().reached()};
     }
     return boost::leaf::new_error(wire_error{"body", "is missing"});
@@ -57,10 +53,7 @@
 }
 
 kernel::result<membership_payload> decode_membership(std::string_view bytes) {
-    proto::MembershipMessage in;
-    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-        return boost::leaf::new_error(wire_error{"", "payload is malformed"});
-    }
+    BOOST_LEAF_AUTO(in, internal::parse_message<proto::MembershipMessage>(bytes));
     BOOST_LEAF_AUTO(body, body_of(in));
     return membership_payload{in.message_id(), in.reply_to(), std::move(body)};
 }
--- a/packages/wire/internal/traffic_codec.cpp
+++ b/packages/wire/internal/traffic_codec.cpp
@@ -4,26 +4,13 @@
 #include <limits>
 
 #include "wire/generated/peer.pb.h"
+#include "wire/internal/proto_fields.h"
 
 namespace poplarfront::wire {
 namespace {
 
-template <class Message>
-kernel::result<Message> parse(std::string_view bytes) {
-    Message message;
-    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-        return boost::leaf::new_error(wire_error{"", "payload is malformed"});
-    }
-    return message;
-}
-
-template <class Identifier>
-kernel::result<Identifier> checked(const std::string& text, std::string_view field) {
-    if (!model::is_identifier(text)) {
-        return boost::leaf::new_error(wire_error{std::string{field}, "is not a valid name"});
-    }
-    return Identifier::trusted(text);
-}
+using internal::checked_identifier;
+using internal::parse_message;
 
 std::uint32_t remaining_ms(kernel::time_point deadline, kernel::time_point now) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
@@ -37,8 +24,8 @@
 }
 
 kernel::result<model::shard_ref> shard_of(const proto::ShardRef& in) {
-    BOOST_LEAF_AUTO(service, checked<model::service_id>(in.service(), "service"));
-    BOOST_LEAF_AUTO(shard, checked<model::shard_id>(in.shard(), "shard"));
+    BOOST_LEAF_AUTO(service, checked_identifier<model::service_id>(in.service(), "service"));
+    BOOST_LEAF_AUTO(shard, checked_identifier<model::shard_id>(in.shard(), "shard"));
     return model::shard_ref{std::move(service), std::move(shard)};
 }
 
@@ -77,7 +64,7 @@
     }
     result.crash_symptom = in.crash_symptom();
     for (const auto& server : in.crashed()) {
-        BOOST_LEAF_AUTO(id, checked<model::server_id>(server, "crashed"));
+        BOOST_LEAF_AUTO(id, checked_identifier<model::server_id>(server, "crashed"));
         result.crashed.push_back(std::move(id));
     }
     return result;
@@ -102,10 +89,12 @@
 
 kernel::result<routing::sub_query_batch> decode_batch(std::string_view bytes,
                                                       kernel::time_point now) {
-    BOOST_LEAF_AUTO(in, parse<proto::SubQueryBatch>(bytes));
+    BOOST_LEAF_AUTO(in, parse_message<proto::SubQueryBatch>(bytes));
     routing::sub_query_batch batch;
-    BOOST_LEAF_ASSIGN(batch.request, checked<model::request_id>(in.request(), "request"));
-    BOOST_LEAF_ASSIGN(batch.searcher, checked<model::searcher_id>(in.searcher(), "searcher"));
+    BOOST_LEAF_ASSIGN(batch.request,
+                      checked_identifier<model::request_id>(in.request(), "request"));
+    BOOST_LEAF_ASSIGN(batch.searcher,
+                      checked_identifier<model::searcher_id>(in.searcher(), "searcher"));
     batch.batch = in.batch();
     batch.snapshot = {{in.map_revision()}, {in.index_version()}};
     batch.query = in.query();
@@ -129,10 +118,12 @@
 }
 
 kernel::result<routing::sub_query_result> decode_batch_result(std::string_view bytes) {
-    BOOST_LEAF_AUTO(in, parse<proto::SubQueryResult>(bytes));
+    BOOST_LEAF_AUTO(in, parse_message<proto::SubQueryResult>(bytes));
     routing::sub_query_result result;
-    BOOST_LEAF_ASSIGN(result.request, checked<model::request_id>(in.request(), "request"));
-    BOOST_LEAF_ASSIGN(result.searcher, checked<model::searcher_id>(in.searcher(), "searcher"));
+    BOOST_LEAF_ASSIGN(result.request,
+                      checked_identifier<model::request_id>(in.request(), "request"));
+    BOOST_LEAF_ASSIGN(result.searcher,
+                      checked_identifier<model::searcher_id>(in.searcher(), "searcher"));
     result.batch = in.batch();
     for (const auto& shard : in.shards()) {
         BOOST_LEAF_AUTO(decoded, shard_result_of(shard));
@@ -149,8 +140,8 @@
 }
 
 kernel::result<batch_cancel> decode_batch_cancel(std::string_view bytes) {
-    BOOST_LEAF_AUTO(in, parse<proto::SubQueryCancel>(bytes));
-    BOOST_LEAF_AUTO(request, checked<model::request_id>(in.request(), "request"));
+    BOOST_LEAF_AUTO(in, parse_message<proto::SubQueryCancel>(bytes));
+    BOOST_LEAF_AUTO(request, checked_identifier<model::request_id>(in.request(), "request"));
     return batch_cancel{std::move(request), in.batch()};
 }
 
@@ -169,13 +160,15 @@
 
 kernel::result<action_forward> decode_action_forward(std::string_view bytes,
                                                      kernel::time_point now) {
-    BOOST_LEAF_AUTO(in, parse<proto::ActionForward>(bytes));
+    BOOST_LEAF_AUTO(in, parse_message<proto::ActionForward>(bytes));
     if (in.message_id() == 0) {
         return boost::leaf::new_error(wire_error{"message_id", "is missing"});
     }
     model::action_request action;
-    BOOST_LEAF_ASSIGN(action.request, checked<model::request_id>(in.request(), "request"));
-    BOOST_LEAF_ASSIGN(action.searcher, checked<model::searcher_id>(in.searcher(), "searcher"));
+    BOOST_LEAF_ASSIGN(action.request,
+                      checked_identifier<model::request_id>(in.request(), "request"));
+    BOOST_LEAF_ASSIGN(action.searcher,
+                      checked_identifier<model::searcher_id>(in.searcher(), "searcher"));
     BOOST_LEAF_ASSIGN(action.target, shard_of(in.target()));
     action.request_key = in.request_key();
     action.body = in.body();
@@ -195,11 +188,13 @@
 }
 
 kernel::result<action_result> decode_action_result(std::string_view bytes) {
-    BOOST_LEAF_AUTO(in, parse<proto::ActionResult>(bytes));
+    BOOST_LEAF_AUTO(in, parse_message<proto::ActionResult>(bytes));
     action_result result;
     result.message_id = in.message_id();
-    BOOST_LEAF_ASSIGN(result.request, checked<model::request_id>(in.request(), "request"));
-    BOOST_LEAF_ASSIGN(result.searcher, checked<model::searcher_id>(in.searcher(), "searcher"));
+    BOOST_LEAF_ASSIGN(result.request,
+                      checked_identifier<model::request_id>(in.request(), "request"));
+    BOOST_LEAF_ASSIGN(result.searcher,
+                      checked_identifier<model::searcher_id>(in.searcher(), "searcher"));
     if (in.status() > static_cast<std::uint32_t>(model::action_status::unknown)) {
         return boost::leaf::new_error(wire_error{"status", "is not known"});
     }
