Retry a refused version on a replica last seen with older versions

Cause: after a backend server refused the pinned version, the owner gave up if it had last seen the other replica with older versions. That belief was out of date: the entry instance pinned the version because a replica had it. The entry had no other pin to restart on, so the shard was missing. Change: only a replica that holds nothing but newer versions is skipped.

--- a/packages/routing/shard_call.h
+++ b/packages/routing/shard_call.h
@@ -223,7 +223,7 @@
         const auto now = clock_.now();
         retry_at_.reset();
         const auto server = next_replica();
-        if (!server || (pin_refused() && !may_hold_pin(*server))) {
+        if (!server || (pin_refused() && has_dropped_pin(*server))) {
             finish_if_nothing_open();
             return;
         }
@@ -291,6 +291,13 @@
         return !held || held->contains(next_.snapshot.version);
     }
 
+    /// Whether the backend server only holds newer versions. One last seen with older versions may
+    /// have caught up: the entry instance knew a replica with the pinned version.
+    [[nodiscard]] bool has_dropped_pin(const model::server_id& server) const {
+        const auto held = shared_.versions.held_by(server);
+        return held && next_.snapshot.version < held->oldest;
+    }
+
     /// The replica for another attempt, if there may be one.
     std::optional<model::server_id> next_replica() {
         return sent_count_ < shared_.policy.max_attempts ? choose_replica() : std::nullopt;
