Answer a state request during the start of an instance

Cause: the operator address is served before the peer module has started, so GET /state dereferenced a null endpoint and ended the process with SIGSEGV; a message that arrives while the endpoint is being assigned raced with it too. Change: peer_link holds its endpoint in an atomic shared pointer; before the start its counters are 0 and messages are dropped. Before: 1 of 58 starts of a tier that is asked for its state during the start failed (core dump: peer_endpoint::count with this = 0).

--- a/packages/daemon/internal/peer_link.cpp
+++ b/packages/daemon/internal/peer_link.cpp
@@ -14,24 +14,28 @@
 }
 
 kernel::result<void> peer_link::start(const std::shared_ptr<runtime::fiber_thread>& thread) {
-    BOOST_LEAF_ASSIGN(endpoint_, runtime::peer_endpoint::create(
-                                     thread, identity_->peer_address,
-                                     [this](const std::string& bytes) { receive(bytes); }));
+    BOOST_LEAF_AUTO(endpoint, runtime::peer_endpoint::create(
+                                  thread, identity_->peer_address,
+                                  [this](const std::string& bytes) { receive(bytes); }));
+    endpoint_ = std::move(endpoint);
     return {};
 }
 
 void peer_link::stop() {
-    endpoint_->stop();
+    endpoint_.load()->stop();
 }
 
 void peer_link::send(const std::string& address, wire::message_kind kind,
                      model::incarnation incarnation, std::string payload) {
-    endpoint_->send(address, wire::encode_envelope({identity_->deployment, identity_->instance,
-                                                    incarnation, kind, std::move(payload)}));
+    if (const auto endpoint = endpoint_.load()) {
+        endpoint->send(address, wire::encode_envelope({identity_->deployment, identity_->instance,
+                                                       incarnation, kind, std::move(payload)}));
+    }
 }
 
 runtime::peer_endpoint::counters peer_link::transport_count() const {
-    return endpoint_->count();
+    const auto endpoint = endpoint_.load();
+    return endpoint ? endpoint->count() : runtime::peer_endpoint::counters{};
 }
 
 void peer_link::receive(const std::string& bytes) {
--- a/packages/daemon/peer_link.h
+++ b/packages/daemon/peer_link.h
@@ -38,7 +38,8 @@
     kernel::result<void> start(const std::shared_ptr<runtime::fiber_thread>& thread);
     void stop();
 
-    /// Queues a message to the instance at IP:PORT. There is no confirmation.
+    /// Queues a message to the instance at IP:PORT; before the start it is dropped. There is no
+    /// confirmation.
     void send(const std::string& address, wire::message_kind kind, std::string payload) {
         send(address, kind, identity_->start, std::move(payload));
     }
@@ -57,7 +58,9 @@
     std::map<wire::message_kind, handler> handlers_;
     /// The start of the newest process of each instance.
     std::map<model::instance_id, std::uint64_t> newest_;
-    std::shared_ptr<runtime::peer_endpoint> endpoint_;
+    /// Null until started. Other threads read it before: the state can be asked for during a start,
+    /// and a message can arrive as soon as the endpoint is bound.
+    std::atomic<std::shared_ptr<runtime::peer_endpoint>> endpoint_;
     std::atomic<std::uint64_t> refused_ = 0;
     std::atomic<std::uint64_t> stale_ = 0;
 };
