Pass a batch on that an owner without configuration cannot serve

Cause: an instance that has just started is an owner in the view of the others before it has learned the configuration; it knew none of the shards and answered no_replica, which ended the search incomplete. Change: such an owner reports no shard, and the entry instance takes that as a lost owner and sends the batch to the next one.

--- a/packages/daemon/entry_module.cpp
+++ b/packages/daemon/entry_module.cpp
@@ -41,9 +41,9 @@
         module->options_.max_connections =
             static_cast<std::size_t>(settings.integer("listen", "max_connections"));
         module->drain_ = std::chrono::milliseconds{settings.integer("listen", "drain_ms")};
-        module->delay_ = std::min(
-            module->drain_, kernel::duration{std::chrono::milliseconds{
-                                settings.integer("listen", "stop_delay_ms")}});
+        module->delay_ =
+            std::min(module->drain_, kernel::duration{std::chrono::milliseconds{
+                                         settings.integer("listen", "stop_delay_ms")}});
         return module;
     }
 
@@ -64,7 +64,8 @@
             std::this_thread::sleep_for(delay_);
         }
         for (const auto& server : servers_) {
-            server->stop(std::max(end - std::chrono::steady_clock::now(), kernel::duration::zero()));
+            server->stop(
+                std::max(end - std::chrono::steady_clock::now(), kernel::duration::zero()));
         }
     }
 
--- a/packages/daemon/pending_batches.h
+++ b/packages/daemon/pending_batches.h
@@ -37,18 +37,18 @@
         mailboxes_.erase(request);
     }
 
-    /// Passes a result on; false if its search has ended.
-    bool deliver(routing::sub_query_result result) {
+    /// Passes a result or a loss on; false if its search has ended.
+    bool deliver(const model::request_id& request, session_event event) {
         std::shared_ptr<session_mailbox> mailbox;
         {
             const std::lock_guard lock{mutex_};
-            const auto it = mailboxes_.find(result.request);
+            const auto it = mailboxes_.find(request);
             if (it == mailboxes_.end()) {
                 return false;
             }
             mailbox = it->second;
         }
-        mailbox->push(std::move(result));
+        mailbox->push(std::move(event));
         return true;
     }
 
--- a/packages/daemon/search_module.cpp
+++ b/packages/daemon/search_module.cpp
@@ -1,5 +1,6 @@
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <thread>
@@ -90,25 +91,47 @@
             spdlog::warn("refused a malformed batch of {}", message.sender.text());
             return;
         }
+        const auto state = publisher_->state().read();
+        if (!knows_any(state->configuration->shard_map, batch->shards)) {
+            reply(message.sender, {batch->request, batch->batch, batch->searcher, {}});
+            return;
+        }
         const auto& worker = workers_->of(batch->request);
         worker->thread()->spawn(
             [this, worker, batch = std::move(batch.value()), sender = message.sender] {
-                auto result = worker->execute(batch);
-                const auto state = publisher_->state().read();
-                if (const auto* to = state->instances.find(sender)) {
-                    link_->send(to->peer_address, wire::message_kind::sub_query_result,
-                                wire::encode_batch_result(result));
-                }
+                reply(sender, worker->execute(batch));
             });
     }
 
+    /// Whether the map has any of the shards. An instance that has just started is already an owner
+    /// for others while it does not know the configuration yet.
+    static bool knows_any(const model::shard_map& map,
+                          const std::vector<model::shard_ref>& shards) {
+        return std::any_of(shards.begin(), shards.end(),
+                           [&](const auto& it) { return map.find_shard(it) != nullptr; });
+    }
+
+    void reply(const model::instance_id& entry, const routing::sub_query_result& result) {
+        const auto state = publisher_->state().read();
+        if (const auto* to = state->instances.find(entry)) {
+            link_->send(to->peer_address, wire::message_kind::sub_query_result,
+                        wire::encode_batch_result(result));
+        }
+    }
+
     void on_result(const wire::envelope& message) {
         auto result = wire::decode_batch_result(message.payload);
         if (!result) {
             spdlog::warn("refused a malformed batch result of {}", message.sender.text());
             return;
         }
-        pending_->deliver(std::move(result.value()));
+        const auto request = result->request;
+        if (result->shards.empty()) {
+            // The owner declined; the search goes to the next one.
+            pending_->deliver(request, owner_lost{message.sender});
+            return;
+        }
+        pending_->deliver(request, std::move(result.value()));
     }
 
     void on_cancel(const wire::envelope& message) {
