Keep stopped modules alive until all have stopped

An instance that got SIGTERM while searches ran sometimes aborted with std::system_error, "Invalid argument", after its callers had their answers. A module was destroyed right after its stop, but its message handlers are called until the peers module stops too: a late batch result then locked a mutex of the destroyed search module. Modules are now destroyed after the last one has stopped.

Seen in 1 of 10 instance stops of the demo. The lifecycle test now also checks the order of destruction; it fails without the change.

--- a/packages/kernel/internal/lifecycle.cpp
+++ b/packages/kernel/internal/lifecycle.cpp
@@ -63,9 +63,12 @@
     for (const auto& module : running_) {
         module.begin_stop();
     }
+    for (auto module = running_.rbegin(); module != running_.rend(); ++module) {
+        spdlog::debug("stopping module {}", module->name);
+        module->stop();
+    }
+    // Handlers of a stopped module may run until the modules it depends on have stopped too.
     while (!running_.empty()) {
-        spdlog::debug("stopping module {}", running_.back().name);
-        running_.back().stop();
         running_.pop_back();
     }
 }
--- a/packages/kernel/tests/lifecycle_test.cpp
+++ b/packages/kernel/tests/lifecycle_test.cpp
@@ -34,6 +34,11 @@
     void begin_stop() { note("begin_stop"); }
     void stop() { note("stop"); }
 
+    noted_module() = default;
+    noted_module(const noted_module&) = delete;
+    noted_module& operator=(const noted_module&) = delete;
+    ~noted_module() { note("destroy"); }
+
 private:
     static void note(const std::string& step) { steps.push_back(step + " " + Name); }
 };
@@ -41,7 +46,7 @@
 const module_registration<noted_module<'a'>> module_a;
 const module_registration<noted_module<'b'>> module_b;
 
-TEST_CASE("every module learns of a stop before the first is stopped") {
+TEST_CASE("every module learns of a stop before the first is stopped, and outlives the last stop") {
     const auto empty = settings::parse("a.ini", "", {});
     REQUIRE(empty);
     module_context context{empty.value()};
@@ -49,7 +54,7 @@
     REQUIRE(running);
     running->stop();
     CHECK(steps == std::vector<std::string>{"start a", "start b", "begin_stop a", "begin_stop b",
-                                            "stop b", "stop a"});
+                                            "stop b", "stop a", "destroy b", "destroy a"});
 }
 
 TEST_CASE("a circular dependency is refused instead of looping") {
