Use the budgets of the search path in the daemon

The search worker had two budgets with the defaults, 5% of attempts and 5% of batches, and resent batches after the hedge delay of single attempts. A resent batch repeats all its shards, so the two added up to more than 5%. The worker now uses the options that the routing package and its tests use.

--- a/packages/daemon/search_worker.h
+++ b/packages/daemon/search_worker.h
@@ -80,11 +80,11 @@
     kernel::seeded_random_source random_;
     routing::routing_policy policy_;
     routing::replica_stats replicas_;
-    retry::retry_budget attempt_budget_;
+    retry::retry_budget attempt_budget_{routing::attempt_budget_options()};
     retry::hedge_policy attempt_hedge_;
     routing::owner_stats owners_;
-    retry::retry_budget batch_budget_;
-    retry::hedge_policy batch_hedge_;
+    retry::retry_budget batch_budget_{routing::batch_budget_options()};
+    retry::hedge_policy batch_hedge_{routing::batch_hedge_options()};
     routing::crash_quarantine quarantine_;
     snapshot::version_tracker versions_;
     routing::routing_counters counters_;
