Answer the health check with 503 for an instance in the leaving section

The design has an instance that the leaving section names answer 503 on /healthz, so that the balancer stops sending to it. The route only looked at whether the process stops. It now also reads the published state.

--- a/packages/daemon/operator_module.cpp
+++ b/packages/daemon/operator_module.cpp
@@ -2,6 +2,7 @@
 #include <memory>
 
 #include "daemon/instance_identity.h"
+#include "daemon/tier_state_publisher.h"
 #include "kernel/module_registration.h"
 #include "kernel/state_registry.h"
 #include "runtime/http_server.h"
@@ -18,7 +19,7 @@
 class operator_module {
 public:
     static kernel::module_descriptor descriptor() {
-        return {"operator", {"runtime", "instance"}, {}};
+        return {"operator", {"runtime", "instance", "tier_state"}, {}};
     }
 
     static kernel::result<std::shared_ptr<operator_module>> create(
@@ -33,8 +34,10 @@
                 return runtime::http_response{200, state->dump()};
             });
         module->routes_->add(
-            "GET", "/healthz", [stopping = module->stopping_](const runtime::http_request&) {
-                if (*stopping) {
+            "GET", "/healthz",
+            [stopping = module->stopping_,
+             publisher = context.require<tier_state_publisher>()](const runtime::http_request&) {
+                if (*stopping || publisher->state().read()->leaving) {
                     return runtime::http_response{service_unavailable, R"({"status":"leaving"})"};
                 }
                 return runtime::http_response{200, R"({"status":"serving"})"};
