--- a/tools/capacity/capacity.cpp
+++ b/tools/capacity/capacity.cpp
@@ -18,19 +18,24 @@
 
 constexpr std::string_view usage =
     "usage: capacity [--instances N,N,...] [--servers N,N,...] [--changes N,N,...]\n"
-    "                [--seconds N] [--seed N] [--only NAME] [--json FILE]\n"
+    "                [--seconds N] [--seed N] [--only NAME] [--json FILE] [--quick]\n"
     "Measures the control work of one instance by running the real code without sockets.\n"
-    "--changes gives instances replaced a day, --seconds the virtual time of each run.\n";
+    "--changes gives instances replaced a day, --seconds the virtual time of each run.\n"
+    "--quick sets few and small sizes; options after it replace them.\n";
 
 // One replacement takes 3 s.
 constexpr std::uint64_t min_seconds = 4;
 
 struct command_line {
-    capacity_options options{{17, 100, 300, 1000, 3000}, {100, 1000, 16000}, {0, 3353, 33530}};
+    capacity_options options{{17, 100, 300, 1000, 3000}, {100, 1600, 16000}, {0, 3353, 33530}, 30};
     std::string only;
     std::string json_file;
 };
 
+capacity_options quick_options() {
+    return {{17, 100}, {100, 1600, 16000}, {0, 3353}, 6};
+}
+
 std::optional<std::vector<std::uint64_t>> numbers(std::string_view text) {
     std::vector<std::uint64_t> list;
     while (true) {
@@ -86,6 +91,9 @@
         case 'o':
             into.only = value;
             return true;
+        case 'q':
+            into.options = quick_options();
+            return true;
         case 'j':
             into.json_file = value;
             return true;
@@ -95,13 +103,14 @@
 }
 
 std::optional<command_line> parse(int argc, char** argv) {
-    constexpr std::array<option, 8> known{{{"instances", required_argument, nullptr, 'i'},
+    constexpr std::array<option, 9> known{{{"instances", required_argument, nullptr, 'i'},
                                            {"servers", required_argument, nullptr, 's'},
                                            {"changes", required_argument, nullptr, 'c'},
                                            {"seconds", required_argument, nullptr, 't'},
                                            {"seed", required_argument, nullptr, 'r'},
                                            {"only", required_argument, nullptr, 'o'},
                                            {"json", required_argument, nullptr, 'j'},
+                                           {"quick", no_argument, nullptr, 'q'},
                                            {nullptr, 0, nullptr, 0}}};
     command_line parsed;
     int found = 0;
