--- a/tools/capacity/configuration_measurement.cpp
+++ b/tools/capacity/configuration_measurement.cpp
@@ -131,7 +131,8 @@
     }
 
     void accept(int n) {
-        const auto next = apply(document_, {{{{"instances", "i-" + std::to_string(n)}, "leaving"}}});
+        const auto next =
+            apply(document_, {{{{"instances", "i-" + std::to_string(n)}, "leaving"}}});
         current_ = current_.accept("leaving", {{}, {}, digest_of(next.text()), "n"},
                                    difference(document_, next));
         document_ = next;
@@ -144,9 +145,9 @@
         for (const auto& it : cluster_.nodes) {
             const auto reached = it->in_force.lower_bound(current_.document_revision.value);
             if (reached != it->in_force.end()) {
-                delays_.push_back(std::chrono::duration<double, std::milli>(
-                                      reached->second - accepted_at)
-                                      .count());
+                delays_.push_back(
+                    std::chrono::duration<double, std::milli>(reached->second - accepted_at)
+                        .count());
             }
         }
     }
--- a/tools/capacity/store_measurement.cpp
+++ b/tools/capacity/store_measurement.cpp
@@ -60,12 +60,9 @@
         counted, {}, time, model::deployment_id::trusted("d")};
     write_cost cost;
     for (int n = 0; n < writes_measured; ++n) {
-        const section_write request{
-            "leaving",
-            "[instances]\ni-" + std::to_string(n) + "=leaving\n",
-            std::nullopt,
-            "n" + std::to_string(n),
-            time.now() + std::chrono::seconds{5}};
+        const section_write request{"leaving", "[instances]\ni-" + std::to_string(n) + "=leaving\n",
+                                    std::nullopt, "n" + std::to_string(n),
+                                    time.now() + std::chrono::seconds{5}};
         cost.accepted += writer.write(request).status == write_status::accepted ? 1 : 0;
     }
     return {cost.accepted / writes_measured, counted.reads / writes_measured,
--- a/tools/capacity/traffic_measurement.cpp
+++ b/tools/capacity/traffic_measurement.cpp
@@ -65,8 +65,8 @@
             const auto owner = "poplarfront-" + std::to_string(plan.groups.size());
             plan.groups.push_back({{}, {model::instance_id::trusted(owner)}});
         }
-        plan.groups.back().shards.push_back({model::service_id::trusted("service-0"),
-                                             model::shard_id::trusted(std::to_string(n))});
+        plan.groups.back().shards.push_back(
+            {model::service_id::trusted("service-0"), model::shard_id::trusted(std::to_string(n))});
     }
     return plan;
 }
@@ -80,15 +80,23 @@
 std::string backend_reply(const model::shard_attempt& attempt) {
     constexpr std::size_t body_bytes = 100;
     return wire::encode_attempt_reply(
-        {attempt.request, attempt.attempt, attempt.searcher, attempt.shard, attempt.server,
-         model::attempt_status::ok, attempt.snapshot.version,
+        {attempt.request,
+         attempt.attempt,
+         attempt.searcher,
+         attempt.shard,
+         attempt.server,
+         model::attempt_status::ok,
+         attempt.snapshot.version,
          {{attempt.shard.shard.text(), std::string(body_bytes, 'x')}},
-         model::version_range{attempt.snapshot.version, attempt.snapshot.version}, 0.5});
+         model::version_range{attempt.snapshot.version, attempt.snapshot.version},
+         0.5});
 }
 
 std::string envelope_of(wire::message_kind kind, std::string payload) {
     return wire::encode_envelope({model::deployment_id::trusted("richelieu"),
-                                  model::instance_id::trusted("poplarfront-0"), {1}, kind,
+                                  model::instance_id::trusted("poplarfront-0"),
+                                  {1},
+                                  kind,
                                   std::move(payload)});
 }
 
@@ -147,8 +155,8 @@
 
     void exchange(session_type& session, const sub_query_batch& batch) {
         auto before = processor_seconds();
-        const auto sent =
-            envelope_of(wire::message_kind::sub_query_batch, wire::encode_batch(batch, clock_.now()));
+        const auto sent = envelope_of(wire::message_kind::sub_query_batch,
+                                      wire::encode_batch(batch, clock_.now()));
         entry_seconds_ += processor_seconds() - before;
         const auto replied = execute(sent);
         messages_ += 2;
