Start the operator routes after the peer link

Cause: the operator address was served before the peer link had bound its endpoint, and a state dump in between ended the process, as its part of the dump uses the endpoint. The process test asks for the state while instances start, and 3 of 30 starts of a tier failed, 4 tests at a time. One instance was then seen to have ended.

Change: the operator module depends on the peer link. A tier of the test that does not start names the instance, its exit code and its last state.

--- a/packages/daemon/operator_module.cpp
+++ b/packages/daemon/operator_module.cpp
@@ -14,11 +14,11 @@
 constexpr unsigned service_unavailable = 503;
 
 /// Serves the operator address on the control thread: health, state dump, and the routes that
-/// other modules add.
+/// other modules add. It starts after the peer link, whose part of the dump needs its endpoint.
 class operator_module {
 public:
     static kernel::module_descriptor descriptor() {
-        return {"operator", {"runtime", "instance"}, {}};
+        return {"operator", {"runtime", "instance", "peers"}, {}};
     }
 
     static kernel::result<std::shared_ptr<operator_module>> create(
--- a/packages/daemon/tests/daemon_process.cpp
+++ b/packages/daemon/tests/daemon_process.cpp
@@ -34,7 +34,7 @@
 std::optional<int> daemon_process::wait(std::chrono::milliseconds limit) {
     constexpr auto poll_interval = std::chrono::milliseconds{10};
     const auto end = std::chrono::steady_clock::now() + limit;
-    while (!exit_code_ && std::chrono::steady_clock::now() < end) {
+    while (!exit_code_ && std::chrono::steady_clock::now() <= end) {
         int status = 0;
         if (waitpid(pid_, &status, WNOHANG) == pid_) {
             constexpr int signal_base = 128;
--- a/packages/daemon/tests/test_tier.cpp
+++ b/packages/daemon/tests/test_tier.cpp
@@ -111,12 +111,17 @@
         processes_[i] = std::make_unique<daemon_process>(folder_ + "/" + name_of(i) + ".ini");
     }
     for (std::size_t i = 0; i < instance_count; ++i) {
-        REQUIRE(eventually(seconds{10}, [&] {
+        std::string last;
+        const bool ready = eventually(seconds{10}, [&] {
             const auto known = state(i);
+            last = boost::json::serialize(known);
             return known.contains("tier") && known.at("tier").at("revision") != 0 &&
                    status_at(i, 0) == "alive" && status_at(i, 1) == "alive" &&
                    status_at(i, 2) == "alive";
-        }));
+        });
+        const auto exit_code = processes_[i]->wait(milliseconds{20});
+        INFO(name_of(i) << " exit code " << exit_code.value_or(-1) << ": " << last);
+        REQUIRE(ready);
     }
 }
 
