Restart a query whose owner no longer has a pinned shard

Cause: in a repartition that removes a shard, an owner with the newer map reports it as no_replica, which did not restart the query even if the entry instance had the newer map by then. Change: such a query restarts if there is a pin of a newer map. Failed try: reporting map_changed from the owner; it contradicts the test "a batch gives one result, and a crash in one shard ends the others", which expects no_replica, and was reverted.

--- a/packages/routing/query_session.h
+++ b/packages/routing/query_session.h
@@ -412,16 +412,26 @@
         });
     }
 
-    /// Starts the whole query again if its pin cannot be served and there is one not yet tried.
+    [[nodiscard]] bool lacks_replica() const {
+        return std::any_of(results_.begin(), results_.end(), [](const auto& it) {
+            return it.second.reason == model::missing_reason::no_replica;
+        });
+    }
+
+    /// Starts the whole query again if its pin cannot be served and there is one not yet tried. An
+    /// owner with a newer map reports a shard that was removed as one without replicas.
     bool try_restart() {
         const auto now = clock_.now();
+        const bool refused = pin_refused();
         next_poll_ = now + shared_.policy.restart_poll;
-        if (!pin_refused() || restarts_ >= shared_.policy.max_restarts) {
+        if ((!refused && !lacks_replica()) || restarts_ >= shared_.policy.max_restarts) {
             return false;
         }
         auto plan = planner_.plan(request_);
         const bool older_map = plan.snapshot.map_revision < snapshot_.map_revision;
-        if (older_map || tried_pins_.contains(plan.snapshot) || now >= owner_deadline()) {
+        const bool same_map = plan.snapshot.map_revision == snapshot_.map_revision;
+        if (older_map || (same_map && !refused) || tried_pins_.contains(plan.snapshot) ||
+            now >= owner_deadline()) {
             return false;
         }
         ++restarts_;
