--- a/tests/processes/tier.cpp
+++ b/tests/processes/tier.cpp
@@ -175,11 +175,12 @@
 }
 
 std::string tier::instance_settings(std::size_t n, std::size_t seeds) const {
-    std::string text = "[instance]\nname = " + instance_name(n) +
-                       "\ndata_centre = howrah\ndeployment = " + deployment +
-                       "\n\n[listen]\ncallers = " + caller_address(n) +
-                       "\npeers = " + peer_address(n) + "\noperators = " + operator_address(n) +
-                       "\ndrain_ms = 5000\nstop_delay_ms = 1500\n\n[store]\naddress = " + store_address() + "\n";
+    std::string text =
+        "[instance]\nname = " + instance_name(n) +
+        "\ndata_centre = howrah\ndeployment = " + deployment +
+        "\n\n[listen]\ncallers = " + caller_address(n) + "\npeers = " + peer_address(n) +
+        "\noperators = " + operator_address(n) +
+        "\ndrain_ms = 5000\nstop_delay_ms = 1500\n\n[store]\naddress = " + store_address() + "\n";
     if (seeds > 0) {
         text += "\n[peers]\nseeds = ";
         for (std::size_t i = 0; i < seeds; ++i) {
