Keep a reserve of the batch budget for lost and silent owners

Ruled out: sending such batches without budget, and letting the budget owe 20 or 5 tokens. Change: 3 of the 5 burst tokens are kept for batches whose owner is lost or has answered nothing for 100 ms. An overloaded owner still answers some batches, so it needs a normal token.

--- a/packages/retry/retry_budget.h
+++ b/packages/retry/retry_budget.h
@@ -15,6 +15,8 @@
     kernel::duration fault_window = std::chrono::seconds{5};
     /// Most tokens that can be saved up; the budget starts with these.
     double burst = 10;
+    /// Tokens that only replacements of lost requests may take.
+    double reserve = 0;
     /// Without traffic one token returns per interval, up to a single one, so that the query of a
     /// quiet instance can still be retried once.
     kernel::duration idle_refill = std::chrono::seconds{10};
@@ -38,14 +40,30 @@
 
     /// Whether try_take() would succeed.
     [[nodiscard]] bool available(kernel::time_point now) const {
+        return has_tokens(1 + options_.reserve, now);
+    }
+
+    /// Takes a token for one extra request. False if there is none above the reserve.
+    bool try_take(kernel::time_point now) { return take_if_above(options_.reserve, now); }
+
+    /// Takes a token for a request that replaces a lost one. False if there is none.
+    bool try_take_reserved(kernel::time_point now) { return take_if_above(0, now); }
+
+    [[nodiscard]] bool observes_failures(kernel::time_point now) const {
+        return now <= failing_until_;
+    }
+
+    [[nodiscard]] double tokens() const { return tokens_; }
+
+private:
+    [[nodiscard]] bool has_tokens(double needed, kernel::time_point now) const {
         // Sums of 0.05 fall short of 1 by rounding.
         constexpr double rounding = 1e-9;
-        return tokens_ + rounding >= 1 || refilled(now) >= 1;
+        return tokens_ + rounding >= needed || refilled(now) >= 1;
     }
 
-    /// Takes a token for one extra request. False if there is none.
-    bool try_take(kernel::time_point now) {
-        if (!available(now)) {
+    bool take_if_above(double kept, kernel::time_point now) {
+        if (!has_tokens(1 + kept, now)) {
             return false;
         }
         tokens_ = std::max(tokens_, refilled(now));
@@ -54,13 +72,6 @@
         return true;
     }
 
-    [[nodiscard]] bool observes_failures(kernel::time_point now) const {
-        return now <= failing_until_;
-    }
-
-    [[nodiscard]] double tokens() const { return tokens_; }
-
-private:
     /// The tokens due to idle time alone.
     [[nodiscard]] double refilled(kernel::time_point now) const {
         return now >= idle_token_at_ ? std::min(1.0, options_.burst) : 0;
--- a/packages/routing/owner_stats.h
+++ b/packages/routing/owner_stats.h
@@ -22,9 +22,19 @@
     }
 
     /// Ends a batch that was answered.
-    void on_answered(const model::instance_id& owner) {
+    void on_answered(const model::instance_id& owner, kernel::time_point now) {
         on_ended(owner);
-        rows_[owner].late_until = kernel::time_point::min();
+        auto& row = rows_[owner];
+        row.late_until = kernel::time_point::min();
+        row.answered_at = now;
+    }
+
+    /// Whether the owner has answered nothing since `since`. An overloaded owner still answers some
+    /// batches; a lost or frozen one answers none.
+    [[nodiscard]] bool silent_since(const model::instance_id& owner,
+                                    kernel::time_point since) const {
+        const auto it = rows_.find(owner);
+        return it == rows_.end() || it->second.answered_at < since;
     }
 
     /// Takes note that an owner has not answered in time. It is the last choice for a second, or
@@ -59,6 +69,7 @@
     struct row {
         std::uint32_t outstanding = 0;
         kernel::time_point late_until = kernel::time_point::min();
+        kernel::time_point answered_at = kernel::time_point::min();
     };
 
     std::map<model::instance_id, row> rows_;
--- a/packages/routing/query_session.h
+++ b/packages/routing/query_session.h
@@ -50,7 +50,7 @@
         open_.erase(it);
         const auto latency = clock_.now() - batch.sent_at;
         shared_.batch_hedge.observe(model::service_id{}, latency);
-        shared_.owners.on_answered(batch.owner);
+        shared_.owners.on_answered(batch.owner, clock_.now());
         for (const auto& shard : result.shards) {
             take(batch, shard);
         }
@@ -302,7 +302,7 @@
             shared_.owners.on_late(it.owner, now);
             it.resend_at.reset();
             for (const auto& [owner, groups] : by_next_owner(resendable(it))) {
-                if (shared_.batch_budget.try_take(now)) {
+                if (take_token(it, now)) {
                     ++shared_.counters.batch_resends;
                     again.insert(again.end(), groups.begin(), groups.end());
                 } else {
@@ -324,6 +324,16 @@
         });
     }
 
+    bool take_token(const open_batch& batch, kernel::time_point now) {
+        return has_lost_owner(batch, now) ? shared_.batch_budget.try_take_reserved(now)
+                                          : shared_.batch_budget.try_take(now);
+    }
+
+    [[nodiscard]] bool has_lost_owner(const open_batch& batch, kernel::time_point now) const {
+        return batch.lost || (now - batch.sent_at >= shared_.policy.failover_after &&
+                              shared_.owners.silent_since(batch.owner, batch.sent_at));
+    }
+
     [[nodiscard]] std::vector<std::size_t> resendable(const open_batch& batch) const {
         std::vector<std::size_t> found;
         for (const auto it : batch.groups) {
--- a/packages/routing/routing_context.h
+++ b/packages/routing/routing_context.h
@@ -37,7 +37,7 @@
 
 /// See attempt_budget_options().
 inline retry::retry_budget_options batch_budget_options() {
-    return {.steady_ratio = 0.01, .fault_ratio = 0.02, .burst = 5};
+    return {.steady_ratio = 0.01, .fault_ratio = 0.02, .burst = 5, .reserve = 3};
 }
 
 /// Owners hedge slow attempts themselves, so a batch is resent only when its owner is slow.
@@ -62,6 +62,10 @@
     /// Shards from which on a query that is not known to be good starts with a canary.
     std::size_t canary_shards = 8;
     kernel::duration canary_wait = std::chrono::milliseconds{5};
+    /// An owner that has answered nothing for this long counts as lost. Its batches are sent to the
+    /// next owners on the reserve of the budget: without it hedges used up the tokens, and a query
+    /// of a quiet instance timed out beside a frozen owner.
+    kernel::duration failover_after = std::chrono::milliseconds{100};
     /// Time kept back from the owners, so that a partial result arrives before the deadline; at
     /// most a tenth of the remaining time.
     kernel::duration owner_margin = std::chrono::milliseconds{5};
--- a/packages/routing/tests/query_session_test.cpp
+++ b/packages/routing/tests/query_session_test.cpp
@@ -107,6 +107,34 @@
     CHECK(transport.cancelled_batches.at(0).second == transport.batches[0].second);
 }
 
+TEST_CASE_METHOD(session_fixture,
+                 "a silent owner is replaced when hedges have used up the budget") {
+    while (shared.batch_budget.try_take(clock.now())) {
+    }
+    tested.start();
+    answer(1);
+    while (transport.batches.size() < 3 && clock.now() < kernel::time_point{1400ms}) {
+        wait_for_timer();
+    }
+    REQUIRE(transport.batches.size() == 3);
+    answer(2);
+    REQUIRE(tested.answer());
+    CHECK(tested.answer()->complete());
+}
+
+TEST_CASE_METHOD(session_fixture, "an overloaded owner, which still answers, needs budget") {
+    while (shared.batch_budget.try_take(clock.now())) {
+    }
+    tested.start();
+    answer(1);
+    while (!tested.answer()) {
+        shared.owners.on_answered(instance(0), clock.now());
+        wait_for_timer();
+    }
+    CHECK(transport.batches.size() == 2);
+    CHECK_FALSE(tested.answer()->complete());
+}
+
 TEST_CASE_METHOD(session_fixture, "lost owners are replaced, then reported as missing shards") {
     tested.start();
     answer(1);
--- a/packages/routing/tests/shared_state_test.cpp
+++ b/packages/routing/tests/shared_state_test.cpp
@@ -96,7 +96,7 @@
     stats.on_late(instance(1), now);
     CHECK(stats.ordered(owners, now) == owners);
     CHECK(stats.ordered(owners, now + 1s) == reversed);
-    stats.on_answered(instance(1));
+    stats.on_answered(instance(1), now);
     CHECK(stats.ordered(owners, now) == reversed);
     stats.on_ended(instance(0));
     CHECK(stats.ordered(owners, now) == owners);
