Put the admission limits of the policy section in force

max_in_flight and max_queued were checked and accepted but had no effect. They now bound the adaptive limit and the requests of a share that wait, as parts of each traffic thread; shares are divided among the threads as well. max_queue_wait_ms is removed, because a request already waits only as long as it can still end before its deadline.

--- a/packages/admission/admission_gate.h
+++ b/packages/admission/admission_gate.h
@@ -66,6 +66,12 @@
         }
     }
 
+    /// Sets how many requests may run at once at the most.
+    void on_max_in_flight(double maximum) {
+        limit_.set_maximum(maximum);
+        start_waiting();
+    }
+
     [[nodiscard]] kernel::time_point next_timer() const { return scheduler_.next_timer(); }
     [[nodiscard]] std::size_t waiting() const { return scheduler_.waiting(); }
     [[nodiscard]] const concurrency_limit<LimitPolicy>& limit() const { return limit_; }
--- a/packages/admission/concurrency_limit.h
+++ b/packages/admission/concurrency_limit.h
@@ -42,6 +42,12 @@
     /// Precondition: a request that was started has ended. The limit stays as it is.
     void on_end_unmeasured() { --in_flight_; }
 
+    /// Sets the highest limit; requests under way are not affected.
+    void set_maximum(double maximum) {
+        options_.maximum = std::max(maximum, options_.minimum);
+        limit_ = std::min(limit_, options_.maximum);
+    }
+
     [[nodiscard]] double limit() const { return limit_; }
     [[nodiscard]] std::uint32_t in_flight() const { return in_flight_; }
 
--- a/packages/admission/tests/limits_test.cpp
+++ b/packages/admission/tests/limits_test.cpp
@@ -195,6 +195,19 @@
     CHECK_FALSE(output.refused.empty());
 }
 
+TEST_CASE("a lower bound on requests in flight holds back waiting ones at once") {
+    kernel::manual_clock clock;
+    recording_output output;
+    admission_gate gate{clock, output,
+                        share_table{{{{searcher, std::nullopt}, {50.0, 1.0, 5.0, 20}}}}};
+    gate.on_max_in_flight(1.0);
+    gate.on_request(searcher, services, {1, clock.now() + milliseconds{100}});
+    gate.on_request(searcher, services, {2, clock.now() + milliseconds{100}});
+    CHECK(output.started == std::vector<std::uint64_t>{1});
+    gate.on_end({milliseconds{5}, false});
+    CHECK(output.started == std::vector<std::uint64_t>{1, 2});
+}
+
 /// A request that a gate started, with the times of its start and its end.
 struct sent_request {
     std::uint64_t id = 0;
--- a/packages/configuration/policy_section.h
+++ b/packages/configuration/policy_section.h
@@ -26,9 +26,10 @@
 
 /// Limits of the work that one instance accepts.
 struct admission_policy {
+    /// Upper bound of the adaptive concurrency limit.
     std::uint32_t max_in_flight = 1'000;
+    /// Requests of one share that may wait.
     std::uint32_t max_queued = 1'000;
-    std::uint32_t max_queue_wait_ms = 20;
     friend auto operator<=>(const admission_policy&, const admission_policy&) = default;
 };
 
@@ -60,7 +61,7 @@
 /// Parses the `policy` section; each key has a range and a default.
 ///
 ///     [retry]      steady_percent, fault_percent, minimum_delay_ms, maximum_delay_ms
-///     [admission]  max_in_flight, max_queued, max_queue_wait_ms
+///     [admission]  max_in_flight, max_queued
 ///     [ownership]  mode (direct or owned), group_size, owners_per_group
 ///     [canary]     width, wait_ms
 ///
--- a/packages/daemon/admission_module.cpp
+++ b/packages/daemon/admission_module.cpp
@@ -26,7 +26,7 @@
         const auto threads = context.require<runtime::thread_set>();
         const auto gates = std::make_shared<entry_gates>();
         for (std::size_t i = 0; i < threads->traffic.size(); ++i) {
-            gates->gates.push_back(std::make_shared<entry_gate>());
+            gates->gates.push_back(std::make_shared<entry_gate>(threads->traffic.size()));
         }
         context.provide(gates);
         context.require<kernel::state_registry>()->add("admission", [threads, gates] {
--- a/packages/daemon/entry_gate.h
+++ b/packages/daemon/entry_gate.h
@@ -16,7 +16,8 @@
 /// Thread safety: used on fibers of one thread.
 class entry_gate {
 public:
-    entry_gate();
+    /// `threads` is the number of traffic threads, each with a gate of its own.
+    explicit entry_gate(std::size_t threads);
 
     /// Suspends the fiber until the request may start. Returns why it is refused; nothing if it may
     /// start, and then one of the two releases must be called.
@@ -30,7 +31,8 @@
     /// A started request has ended; its latency says nothing about the load of this tier.
     void release_unmeasured();
 
-    /// Puts the shares of a configuration in force, divided among `instances` instances.
+    /// Puts the shares and limits of a configuration in force. Shares are divided among the gates
+    /// of `instances` instances.
     void apply(const configuration::configuration_snapshot& configuration, std::size_t instances);
 
     [[nodiscard]] std::size_t waiting() const { return gate_.waiting(); }
@@ -58,13 +60,14 @@
         std::map<std::uint64_t, std::shared_ptr<promise>> waiting_;
     };
 
+    std::size_t threads_;
     kernel::system_clock_source clock_;
     decisions decisions_;
     admission::admission_gate<kernel::system_clock_source, decisions> gate_;
     std::uint64_t last_id_ = 0;
     std::uint64_t refused_ = 0;
     model::revision revision_;
-    std::size_t instances_ = 0;
+    std::size_t parts_ = 0;
 };
 
 }  // namespace poplarfront::daemon
--- a/packages/daemon/internal/entry_gate.cpp
+++ b/packages/daemon/internal/entry_gate.cpp
@@ -5,21 +5,18 @@
 namespace poplarfront::daemon {
 namespace {
 
-/// Requests of one share that may wait on one instance.
-constexpr std::size_t max_waiting = 256;
-
-admission::share to_share(const configuration::share& share) {
+admission::share to_share(const configuration::share& share, std::size_t max_waiting) {
     return {static_cast<double>(share.guaranteed_per_s), static_cast<double>(share.weight),
             static_cast<double>(std::max<std::uint32_t>(share.burst, 1)), max_waiting};
 }
 
-admission::share_table to_table(const configuration::shares& shares) {
+admission::share_table to_table(const configuration::shares& shares, std::size_t max_waiting) {
     admission::share_table table;
-    table.shares.emplace(admission::share_key{}, to_share(configuration::share{}));
+    table.shares.emplace(admission::share_key{}, to_share(configuration::share{}, max_waiting));
     for (const auto& [searcher, share] : shares.searchers) {
-        table.shares.emplace(admission::share_key{searcher, std::nullopt}, to_share(share.total));
+        table.shares.emplace(admission::share_key{searcher, std::nullopt}, to_share(share.total, max_waiting));
         for (const auto& [service, own] : share.services) {
-            table.shares.emplace(admission::share_key{searcher, service}, to_share(own));
+            table.shares.emplace(admission::share_key{searcher, service}, to_share(own, max_waiting));
         }
     }
     return table;
@@ -37,7 +34,9 @@
     waiting->set_value(value);
 }
 
-entry_gate::entry_gate() : gate_(clock_, decisions_, to_table({})) {}
+entry_gate::entry_gate(std::size_t threads)
+    : threads_(threads),
+      gate_(clock_, decisions_, to_table({}, configuration::admission_policy{}.max_queued)) {}
 
 std::optional<admission::refusal_reason> entry_gate::acquire(
     const model::searcher_id& searcher, std::span<const model::service_id> services,
@@ -66,13 +65,16 @@
 
 void entry_gate::apply(const configuration::configuration_snapshot& configuration,
                        std::size_t instances) {
-    const auto parts = std::max<std::size_t>(instances, 1);
-    if (configuration.revision == revision_ && parts == instances_) {
+    const auto parts = std::max<std::size_t>(instances, 1) * threads_;
+    if (configuration.revision == revision_ && parts == parts_) {
         return;
     }
     revision_ = configuration.revision;
-    instances_ = parts;
-    gate_.on_shares(to_table(configuration.shares).divided(parts));
+    parts_ = parts;
+    const auto& limits = configuration.policy.admission;
+    gate_.on_shares(to_table(configuration.shares, limits.max_queued / threads_).divided(parts));
+    gate_.on_max_in_flight(static_cast<double>(limits.max_in_flight) /
+                           static_cast<double>(threads_));
 }
 
 }  // namespace poplarfront::daemon
