--- a/packages/daemon/internal/entry_gate.cpp
+++ b/packages/daemon/internal/entry_gate.cpp
@@ -14,9 +14,11 @@
     admission::share_table table;
     table.shares.emplace(admission::share_key{}, to_share(configuration::share{}, max_waiting));
     for (const auto& [searcher, share] : shares.searchers) {
-        table.shares.emplace(admission::share_key{searcher, std::nullopt}, to_share(share.total, max_waiting));
+        table.shares.emplace(admission::share_key{searcher, std::nullopt},
+                             to_share(share.total, max_waiting));
         for (const auto& [service, own] : share.services) {
-            table.shares.emplace(admission::share_key{searcher, service}, to_share(own, max_waiting));
+            table.shares.emplace(admission::share_key{searcher, service},
+                                 to_share(own, max_waiting));
         }
     }
     return table;
