Keep the routing objects of a thread in one type

The daemon, the bench, the capacity program and the routing tests each listed the same eleven members and built the same references. Behaviour is unchanged.

--- a/packages/at_most_once/tests/simulation.cpp
+++ b/packages/at_most_once/tests/simulation.cpp
@@ -43,8 +43,8 @@
 using entry_forward = forwarded_action<kernel::manual_clock, instance_port>;
 
 /// The state that an instance loses when it crashes.
-struct node {
-    node(world& w, std::size_t instance, std::uint64_t incarnation, std::uint64_t seed);
+struct instance_process {
+    instance_process(world& w, std::size_t instance, std::uint64_t incarnation, std::uint64_t seed);
 
     instance_port port;
     kernel::seeded_random_source random;
@@ -60,7 +60,7 @@
     std::uint64_t incarnation = 0;
     time_point paused_until;
     wall_time skew{0};
-    std::unique_ptr<node> running;
+    std::unique_ptr<instance_process> running;
 };
 
 struct submission {
@@ -195,14 +195,15 @@
             for (int i = 0; instances_[target].id == home && i < copies; ++i) {
                 // A repeated message reaches the incarnation it was sent to or none.
                 const auto after = i == 0 ? delay() : random_ms(100);
-                deliver(target, instances_[target].incarnation, after, [=, this](node& n) {
-                    const bool first = n.seen.accept(std::to_string(number), clock_.now());
-                    if (first || !options_.drop_repeated_forwards) {
-                        auto arrived = action;
-                        arrived.deadline = clock_.now() + remaining;
-                        n.home.start(arrived, wall(target));
-                    }
-                });
+                deliver(target, instances_[target].incarnation, after,
+                        [=, this](instance_process& n) {
+                            const bool first = n.seen.accept(std::to_string(number), clock_.now());
+                            if (first || !options_.drop_repeated_forwards) {
+                                auto arrived = action;
+                                arrived.deadline = clock_.now() + remaining;
+                                n.home.start(arrived, wall(target));
+                            }
+                        });
             }
         }
     }
@@ -245,11 +246,12 @@
         auto& instance = instances_[i];
         ++instance.incarnation;
         instance.paused_until = clock_.now();
-        instance.running = std::make_unique<node>(*this, i, instance.incarnation, random_.next());
+        instance.running =
+            std::make_unique<instance_process>(*this, i, instance.incarnation, random_.next());
     }
 
     void deliver(std::size_t i, std::uint64_t incarnation, duration after,
-                 std::function<void(node&)> body) {
+                 std::function<void(instance_process&)> body) {
         at(after, [this, i, incarnation, body = std::move(body)] {
             auto& instance = instances_[i];
             if (instance.incarnation != incarnation) {
@@ -264,7 +266,7 @@
         });
     }
 
-    void pump(node& n, std::size_t i, std::uint64_t incarnation) {
+    void pump(instance_process& n, std::size_t i, std::uint64_t incarnation) {
         n.home.on_claim_events();
         for (const auto& result : n.home.take_results()) {
             give_result(i, submission_of(result.request), result.outcome);
@@ -272,7 +274,7 @@
         for (const auto& next : {n.claims.next_timer(), n.home.next_timer()}) {
             if (next && (!n.timer || *next < *n.timer)) {
                 n.timer = next;
-                deliver(i, incarnation, *next - clock_.now(), [](node& woken) {
+                deliver(i, incarnation, *next - clock_.now(), [](instance_process& woken) {
                     woken.timer.reset();
                     woken.claims.on_timer();
                     woken.home.on_timer();
@@ -290,12 +292,13 @@
         if (chance(4)) {
             return;
         }
-        deliver(given.entry, given.incarnation, delay(), [this, number, outcome](node& n) {
-            auto& machine = n.forwards.at(number);
-            const auto& request = machine.request();
-            machine.on_result(request.request, request.searcher, outcome);
-            answer_forward(machine, number);
-        });
+        deliver(given.entry, given.incarnation, delay(),
+                [this, number, outcome](instance_process& n) {
+                    auto& machine = n.forwards.at(number);
+                    const auto& request = machine.request();
+                    machine.on_result(request.request, request.searcher, outcome);
+                    answer_forward(machine, number);
+                });
     }
 
     void answer_forward(const entry_forward& machine, std::size_t number) {
@@ -307,19 +310,19 @@
     void complete(const instance_port& to, store::call_id call, duration after,
                   const store::read_outcome& outcome) {
         deliver(to.instance, to.incarnation, after,
-                [call, outcome](node& n) { n.claims.on_read(call, outcome); });
+                [call, outcome](instance_process& n) { n.claims.on_read(call, outcome); });
     }
 
     void complete(const instance_port& to, store::call_id call, duration after,
                   const store::write_outcome& outcome) {
         deliver(to.instance, to.incarnation, after,
-                [call, outcome](node& n) { n.claims.on_write(call, outcome); });
+                [call, outcome](instance_process& n) { n.claims.on_write(call, outcome); });
     }
 
     void deliver_reply(const instance_port& to, action_number number, duration after,
                        const action_reply& reply) {
         deliver(to.instance, to.incarnation, after,
-                [number, reply](node& n) { n.home.on_reply(number, reply); });
+                [number, reply](instance_process& n) { n.home.on_reply(number, reply); });
     }
 
     // Searchers.
@@ -361,10 +364,10 @@
             clock_.now() + options_.shortest_deadline + random_ms(350)};
         submissions_.push_back({request, entry, instances_[entry].incarnation});
         deliver(entry, instances_[entry].incarnation, duration{0},
-                [this, number](node& n) { enter(n, number); });
+                [this, number](instance_process& n) { enter(n, number); });
     }
 
-    void enter(node& n, std::size_t number) {
+    void enter(instance_process& n, std::size_t number) {
         const auto& given = submissions_[number];
         const auto key = request_key::create(given.request.request_key);
         const auto bucket =
@@ -386,7 +389,7 @@
         made.start();
         answer_forward(made, number);
         deliver(given.entry, given.incarnation, given.request.deadline - clock_.now(),
-                [this, number](node& woken) {
+                [this, number](instance_process& woken) {
                     auto& machine = woken.forwards.at(number);
                     machine.on_timer();
                     answer_forward(machine, number);
@@ -469,7 +472,8 @@
     std::map<action_name, std::string> replies_;
 };
 
-node::node(world& w, std::size_t instance, std::uint64_t incarnation, std::uint64_t seed)
+instance_process::instance_process(world& w, std::size_t instance, std::uint64_t incarnation,
+                                   std::uint64_t seed)
     : port{w, instance, incarnation},
       random(seed),
       claims(w.clock(), random, port, w.options().claims),
--- a/packages/daemon/internal/search_worker.cpp
+++ b/packages/daemon/internal/search_worker.cpp
@@ -74,28 +74,23 @@
     : thread_(std::move(thread)),
       environment_(std::move(environment)),
       backends_(thread_, environment_.identity, environment_.threads),
-      random_(environment_.identity->start.value) {}
-
-routing::routing_context search_worker::context() {
-    return {policy_,      replicas_,   attempt_budget_, attempt_hedge_, owners_, batch_budget_,
-            batch_hedge_, quarantine_, versions_,       counters_,      random_};
-}
+      routing_(environment_.identity->start.value) {}
 
 void search_worker::apply_policy(const tier_state& state) {
     const auto now = clock_.now();
     for (const auto& server : state.draining) {
-        replicas_.mark_draining(server, now);
+        routing_.replicas.mark_draining(server, now);
     }
     const auto& configuration = *state.configuration;
     if (configuration.revision == configuration_revision_) {
         return;
     }
     configuration_revision_ = configuration.revision;
-    versions_.retain(configuration.shard_map);
+    routing_.versions.retain(configuration.shard_map);
     const auto& canary = configuration.policy.canary;
-    policy_.canary_shards =
+    routing_.policy.canary_shards =
         canary.width == 0 ? std::numeric_limits<std::size_t>::max() : canary.width;
-    policy_.canary_wait = std::chrono::milliseconds{canary.wait_ms};
+    routing_.policy.canary_wait = std::chrono::milliseconds{canary.wait_ms};
     apply_retry_policy(configuration.policy.retry);
 }
 
@@ -108,13 +103,14 @@
         of.fault_ratio = part * policy.fault_percent / percent;
         return of;
     };
-    attempt_budget_ = retry::retry_budget{options(attempt_part, routing::attempt_budget_options())};
-    batch_budget_ =
+    routing_.attempt_budget =
+        retry::retry_budget{options(attempt_part, routing::attempt_budget_options())};
+    routing_.batch_budget =
         retry::retry_budget{options(1.0 - attempt_part, routing::batch_budget_options())};
     retry::hedge_policy_options hedge;
     hedge.shortest = std::chrono::milliseconds{policy.minimum_delay_ms};
     hedge.longest = std::chrono::milliseconds{policy.maximum_delay_ms};
-    attempt_hedge_ = retry::hedge_policy{hedge};
+    routing_.attempt_hedge = retry::hedge_policy{hedge};
 }
 
 model::search_answer search_worker::search(const model::search_request& request) {
@@ -128,7 +124,7 @@
         [&](const auto& owner, const auto& batch) { send_batch(owner, batch, mailbox); },
         [&](const auto& owner, const auto& batch) { cancel_batch(owner, batch); }};
     function_planner planner{[this](const auto& it) { return plan(it); }};
-    routing::query_session session{clock_, transport, context(), planner, request};
+    routing::query_session session{clock_, transport, routing_.context(), planner, request};
     session.start();
     while (!session.answer()) {
         const auto event = mailbox->pop_until(session.next_timer());
@@ -164,7 +160,7 @@
     }
     const auto shards = map.shards_of(known);
     plan.snapshot = {map.map_revision(),
-                     versions_.choose(map, shards).value_or(model::index_version{})};
+                     routing_.versions.choose(map, shards).value_or(model::index_version{})};
     std::map<std::size_t, std::vector<model::shard_ref>> by_group;
     for (const auto& shard : shards) {
         by_group[state->ownership.group_of(shard).value_or(0)].push_back(shard);
@@ -243,7 +239,7 @@
         const auto* info = state->configuration->shard_map.find_shard(shard);
         return info == nullptr ? std::vector<model::server_id>{} : info->replicas;
     };
-    routing::batch_call call{clock_, transport, context(), batch, replicas_of};
+    routing::batch_call call{clock_, transport, routing_.context(), batch, replicas_of};
     const batch_key key{batch.request, batch.batch};
     const auto wake = [&] { replies->push(std::nullopt); };
     running_[key] = {[&] {
@@ -279,13 +275,13 @@
 }
 
 void search_worker::import_quarantined(routing::query_fingerprint query) {
-    quarantine_.import({query, {}, true}, clock_.now());
+    routing_.quarantine.import({query, {}, true}, clock_.now());
     wake_all();
 }
 
 void search_worker::announce_quarantined() {
     bool changed = false;
-    for (const auto& change : quarantine_.take_changes(clock_.now())) {
+    for (const auto& change : routing_.quarantine.take_changes(clock_.now())) {
         if (change.quarantined) {
             changed = true;
             spdlog::warn("quarantined a query that crashes backend servers: fingerprint={:x}",
@@ -311,15 +307,15 @@
     const auto connections = backends_.transport_count();
     auto text = boost::json::serialize(boost::json::object{
         {"in_flight", in_flight_},
-        {"primaries", counters_.primaries},
-        {"hedges", counters_.hedges},
-        {"retries", counters_.retries},
-        {"budget_denials", counters_.budget_denials},
-        {"dropped_replies", counters_.dropped_replies},
-        {"batches", counters_.batches},
-        {"batch_resends", counters_.batch_resends},
-        {"restarts", counters_.restarts},
-        {"canaries", counters_.canaries},
+        {"primaries", routing_.counters.primaries},
+        {"hedges", routing_.counters.hedges},
+        {"retries", routing_.counters.retries},
+        {"budget_denials", routing_.counters.budget_denials},
+        {"dropped_replies", routing_.counters.dropped_replies},
+        {"batches", routing_.counters.batches},
+        {"batch_resends", routing_.counters.batch_resends},
+        {"restarts", routing_.counters.restarts},
+        {"canaries", routing_.counters.canaries},
         {"connections_opened", connections.connections_opened},
         {"connections_lost", connections.connections_lost},
     });
--- a/packages/daemon/search_worker.h
+++ b/packages/daemon/search_worker.h
@@ -14,7 +14,7 @@
 #include "metrics/counter_set.h"
 #include "metrics/latency_histogram.h"
 #include "routing/query_plan.h"
-#include "routing/routing_context.h"
+#include "routing/routing_state.h"
 
 namespace poplarfront::daemon {
 
@@ -84,23 +84,12 @@
     void report(const model::attempt_reply& reply);
     void announce_quarantined();
     void wake_all();
-    routing::routing_context context();
 
     std::shared_ptr<runtime::fiber_thread> thread_;
     search_environment environment_;
     backend_caller backends_;
     kernel::system_clock_source clock_;
-    kernel::seeded_random_source random_;
-    routing::routing_policy policy_;
-    routing::replica_stats replicas_;
-    retry::retry_budget attempt_budget_{routing::attempt_budget_options()};
-    retry::hedge_policy attempt_hedge_;
-    routing::owner_stats owners_;
-    retry::retry_budget batch_budget_{routing::batch_budget_options()};
-    retry::hedge_policy batch_hedge_{routing::batch_hedge_options()};
-    routing::crash_quarantine quarantine_;
-    snapshot::version_tracker versions_;
-    routing::routing_counters counters_;
+    routing::routing_state routing_;
     std::map<batch_key, running_batch> running_;
     std::set<std::shared_ptr<session_mailbox>> searching_;
     model::revision configuration_revision_;
--- a/packages/routing/tests/fixture.h
+++ b/packages/routing/tests/fixture.h
@@ -6,6 +6,7 @@
 
 #include "routing/batch_call.h"
 #include "routing/query_session.h"
+#include "routing/routing_state.h"
 
 namespace poplarfront::routing {
 
@@ -21,24 +22,9 @@
     return {model::service_id::trusted("s"), model::shard_id::trusted(std::to_string(number))};
 }
 
-/// The long-lived objects of one traffic thread.
-struct shared_objects {
-    routing_policy policy;
-    replica_stats replicas;
-    retry::retry_budget attempt_budget{attempt_budget_options()};
-    retry::hedge_policy attempt_hedge;
-    owner_stats owners;
-    retry::retry_budget batch_budget{batch_budget_options()};
-    retry::hedge_policy batch_hedge{batch_hedge_options()};
-    crash_quarantine quarantine;
-    snapshot::version_tracker versions;
-    routing_counters counters;
-    kernel::seeded_random_source random{1};
-
-    routing_context context() {
-        return {policy,      replicas,   attempt_budget, attempt_hedge, owners, batch_budget,
-                batch_hedge, quarantine, versions,       counters,      random};
-    }
+/// The long-lived objects of a traffic thread, always with the same seed.
+struct shared_objects : routing_state {
+    shared_objects() : routing_state(1) {}
 };
 
 /// Records what is sent and cancelled.
--- a/tools/bench/tier.h
+++ b/tools/bench/tier.h
@@ -15,6 +15,7 @@
 #include "bench/policies.h"
 #include "bench/run_types.h"
 #include "routing/query_session.h"
+#include "routing/routing_state.h"
 
 namespace poplarfront::bench {
 
@@ -73,24 +74,16 @@
         std::uint32_t idle_connections = 0;
     };
 
-    struct instance_state {
+    struct instance_state : routing::routing_state {
         instance_state(tier& world, std::size_t index, std::uint64_t seed,
                        const admission::share_table& shares)
-            : own_ports{world, index},
-              random(seed),
-              gate(world.events_.clock(), own_ports, shares) {}
+            : routing_state(seed),
+              own_ports{world, index},
+              gate(world.events_.clock(), own_ports, shares) {
+            this->policy = Policy::routing();
+            this->batch_budget = retry::retry_budget{Policy::batch_budget()};
+        }
         ports own_ports;
-        routing::routing_policy policy = Policy::routing();
-        routing::replica_stats replicas;
-        retry::retry_budget attempt_budget{routing::attempt_budget_options()};
-        retry::hedge_policy attempt_hedge;
-        routing::owner_stats owners;
-        retry::retry_budget batch_budget{Policy::batch_budget()};
-        retry::hedge_policy batch_hedge{routing::batch_hedge_options()};
-        routing::crash_quarantine quarantine;
-        snapshot::version_tracker versions;
-        routing::routing_counters counters;
-        kernel::seeded_random_source random;
         gate_type gate;
         std::map<batch_key, open_batch> batches;
         std::map<std::uint64_t, std::unique_ptr<session_type>> sessions;
@@ -98,11 +91,6 @@
         std::shared_ptr<const membership::ownership_table> ownership;
         std::uint64_t map = 1;
         bool leaving = false;
-
-        routing::routing_context context() {
-            return {policy,      replicas,   attempt_budget, attempt_hedge, owners, batch_budget,
-                    batch_hedge, quarantine, versions,       counters,      random};
-        }
     };
 
     struct query_state {
--- a/tools/capacity/traffic_measurement.cpp
+++ b/tools/capacity/traffic_measurement.cpp
@@ -7,6 +7,7 @@
 #include "kernel/sources.h"
 #include "routing/batch_call.h"
 #include "routing/query_session.h"
+#include "routing/routing_state.h"
 #include "wire/backend_json.h"
 #include "wire/envelope.h"
 #include "wire/traffic_codec.h"
@@ -21,26 +22,6 @@
 constexpr std::chrono::milliseconds time_limit{120};
 constexpr double microseconds_per_second = 1e6;
 
-/// The long-lived objects of one traffic thread.
-struct thread_objects {
-    routing_policy policy;
-    replica_stats replicas;
-    retry::retry_budget attempt_budget{attempt_budget_options()};
-    retry::hedge_policy attempt_hedge;
-    owner_stats owners;
-    retry::retry_budget batch_budget{batch_budget_options()};
-    retry::hedge_policy batch_hedge{batch_hedge_options()};
-    crash_quarantine quarantine;
-    snapshot::version_tracker versions;
-    routing_counters counters;
-    kernel::seeded_random_source random{1};
-
-    routing_context context() {
-        return {policy,      replicas,   attempt_budget, attempt_hedge, owners, batch_budget,
-                batch_hedge, quarantine, versions,       counters,      random};
-    }
-};
-
 struct batch_outbox {
     std::vector<sub_query_batch> sent;
     void send(const model::instance_id&, const sub_query_batch& batch) { sent.push_back(batch); }
@@ -205,8 +186,8 @@
     model::deployment_id deployment_ = model::deployment_id::trusted("richelieu");
     kernel::manual_clock clock_;
     fixed_planner planner_;
-    thread_objects entry_;
-    thread_objects owner_;
+    routing::routing_state entry_{1};
+    routing::routing_state owner_{1};
     double entry_seconds_ = 0;
     double owner_seconds_ = 0;
     double messages_ = 0;
