--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -58,7 +58,7 @@
     kill -TERM "${process_ids[$name]}" 2>/dev/null || true
   done
   for name in "${!process_ids[@]}"; do
-    await "$name" 5 || kill -KILL "${process_ids[$name]}" 2>/dev/null || true
+    await "$name" 15 || kill -KILL "${process_ids[$name]}" 2>/dev/null || true
   done
   process_ids=()
 }
