--- a/tools/capacity/counting_link.cpp
+++ b/tools/capacity/counting_link.cpp
@@ -14,11 +14,11 @@
 /// Bytes on the wire. Decodes them as well, since a receiver spends that time too.
 std::uint64_t encoded_size(const membership::peer_message& message) {
     const auto deployment = model::deployment_id::trusted("richelieu");
-    const auto payload = wire::encode_membership(
-        {message.header.message_id, message.header.reply_to, message.body});
-    const auto bytes = wire::encode_envelope({deployment, message.header.sender,
-                                              message.header.sender_incarnation,
-                                              wire::message_kind::membership, payload});
+    const auto payload =
+        wire::encode_membership({message.header.message_id, message.header.reply_to, message.body});
+    const auto bytes =
+        wire::encode_envelope({deployment, message.header.sender, message.header.sender_incarnation,
+                               wire::message_kind::membership, payload});
     const auto received = wire::decode_envelope(bytes, deployment);
     if (received) {
         static_cast<void>(wire::decode_membership(received->payload).has_value());
