Define the ownership policy once, and drop an unused function

configuration and membership each had the same owner_mode and ownership_policy, with a conversion between them in the daemon; both now use the type of the model. http_client::close_idle had no caller.

--- a/packages/configuration/policy_section.h
+++ b/packages/configuration/policy_section.h
@@ -5,12 +5,13 @@
 
 #include "configuration/section_error.h"
 #include "kernel/result.h"
+#include "model/ownership_policy.h"
 #include "model/shard_map.h"
 
 namespace poplarfront::configuration {
 
-/// Who sends to backend servers: every instance itself, or the owners of a shard group.
-enum class owner_mode { direct, owned };
+using model::owner_mode;
+using model::ownership_policy;
 
 /// Limits of the extra load on backend servers. Hedges and retries share one budget.
 struct retry_policy {
@@ -33,14 +34,6 @@
     friend auto operator<=>(const admission_policy&, const admission_policy&) = default;
 };
 
-struct ownership_policy {
-    owner_mode mode = owner_mode::direct;
-    /// Shards of a shard group, before groups that share a backend server are joined.
-    std::uint32_t group_size = 14;
-    std::uint32_t owners_per_group = 2;
-    friend auto operator<=>(const ownership_policy&, const ownership_policy&) = default;
-};
-
 /// When a query that is not known to be good is first tried on one shard.
 struct canary_policy {
     /// Shards of a query from which on a canary is sent; 0 sends none.
--- a/packages/daemon/internal/tier_state_publisher.cpp
+++ b/packages/daemon/internal/tier_state_publisher.cpp
@@ -3,20 +3,9 @@
 #include <spdlog/spdlog.h>
 
 namespace poplarfront::daemon {
-namespace {
-
-membership::ownership_policy policy_of(const configuration::policy& policy) {
-    return {policy.ownership.mode == configuration::owner_mode::owned
-                ? membership::owner_mode::owned
-                : membership::owner_mode::direct,
-            policy.ownership.group_size, policy.ownership.owners_per_group};
-}
-
-}  // namespace
-
 void tier_state_publisher::on_configuration(snapshot_pointer snapshot) {
     const auto table = membership::ownership_table::create(snapshot->shard_map, current_.instances,
-                                                           policy_of(snapshot->policy));
+                                                           snapshot->policy.ownership);
     if (table) {
         current_.ownership = table.value();
     }
--- a/packages/membership/ownership_table.h
+++ b/packages/membership/ownership_table.h
@@ -10,6 +10,7 @@
 
 #include "kernel/result.h"
 #include "model/instance_view.h"
+#include "model/ownership_policy.h"
 #include "model/shard_map.h"
 
 namespace poplarfront::membership {
@@ -20,20 +21,8 @@
     friend auto operator<=>(const ownership_error&, const ownership_error&) = default;
 };
 
-enum class owner_mode {
-    /// Every working instance owns every shard group.
-    direct,
-    /// Each shard group has a few owners.
-    owned,
-};
-
-struct ownership_policy {
-    owner_mode mode = owner_mode::direct;
-    /// The most shards that are put into one group, unless they share backend servers.
-    std::uint32_t group_size = 14;
-    std::uint32_t owners_per_group = 2;
-    friend auto operator<=>(const ownership_policy&, const ownership_policy&) = default;
-};
+using model::owner_mode;
+using model::ownership_policy;
 
 /// Shards that have the same owners, with all backend servers that hold them.
 struct shard_group {
--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -33,9 +33,6 @@
     call_result call(const std::string& address, const http_request& request,
                      kernel::time_point deadline, std::size_t max_connections);
 
-    /// Closes idle connections to addresses that had no call for `age`.
-    void close_idle(kernel::duration age);
-
     [[nodiscard]] counters count() const;
 
 private:
--- a/packages/runtime/internal/http_client.cpp
+++ b/packages/runtime/internal/http_client.cpp
@@ -33,7 +33,6 @@
     boost::fibers::condition_variable released;
     std::vector<std::unique_ptr<connection>> idle;
     std::size_t open = 0;
-    kernel::time_point last_used;
 };
 
 /// Whether the server has not closed the idle connection. A request on a connection that is
@@ -85,17 +84,6 @@
         return std::move(result);
     }
 
-    void close_idle(kernel::duration age) {
-        const auto limit = std::chrono::steady_clock::now() - age;
-        for (auto& [address, pool] : pools_) {
-            std::unique_lock lock{pool->mutex};
-            if (pool->last_used < limit) {
-                pool->open -= pool->idle.size();
-                pool->idle.clear();
-            }
-        }
-    }
-
     [[nodiscard]] counters count() const { return counters_; }
 
 private:
@@ -109,7 +97,6 @@
                                         kernel::time_point deadline, std::size_t max_connections) {
         {
             std::unique_lock lock{pool.mutex};
-            pool.last_used = std::chrono::steady_clock::now();
             const bool available = pool.released.wait_until(
                 lock, deadline, [&] { return !pool.idle.empty() || pool.open < max_connections; });
             if (!available) {
@@ -210,10 +197,6 @@
     return implementation_->call(address, request, deadline, max_connections);
 }
 
-void http_client::close_idle(kernel::duration age) {
-    implementation_->close_idle(age);
-}
-
 http_client::counters http_client::count() const {
     return implementation_->count();
 }
