--- a/packages/daemon/action_module.cpp
+++ b/packages/daemon/action_module.cpp
@@ -27,7 +27,7 @@
         return {"actions",
                 {"runtime", "instance", "tier_state", "peers", "store", "search", "admission",
                  "caller"},
-                {}};
+                {}, {"search"}};
     }
 
     static kernel::result<std::shared_ptr<action_module>> create(kernel::module_context& context) {
--- a/packages/daemon/main/poplarfrontd.cpp
+++ b/packages/daemon/main/poplarfrontd.cpp
@@ -29,13 +29,8 @@
     std::optional<int> exit_code;
 };
 
-void print_help() {
-    std::cout << "usage: poplarfrontd --config FILE [--check-config]\n"
-                 "  --config FILE    INI file with the settings of this instance\n"
-                 "  --check-config   check the settings and exit\n"
-                 "  --help           print this text and the known settings\n"
-                 "  --version        print the version\n\nsettings:\n";
-    for (const auto& it : kernel::registered_settings()) {
+void print_settings(std::string_view profile) {
+    for (const auto& it : kernel::registered_settings(profile)) {
         std::cout << "  [" << it.section << "] " << it.key << ": " << it.description;
         if (it.default_value) {
             std::cout << " (default \"" << *it.default_value << "\")";
@@ -44,6 +39,18 @@
     }
 }
 
+void print_help() {
+    std::cout << "usage: poplarfrontd --config FILE [--check-config]\n"
+                 "  --config FILE    INI file with the settings of this instance\n"
+                 "  --check-config   check the settings and exit\n"
+                 "  --help           print this text and the known settings\n"
+                 "  --version        print the version\n";
+    for (const auto& profile : kernel::profiles()) {
+        std::cout << "\nsettings of the profile " << profile << ":\n";
+        print_settings(profile);
+    }
+}
+
 options parse_options(int argc, char** argv) {
     constexpr option long_options[] = {{"config", required_argument, nullptr, 'c'},
                                        {"check-config", no_argument, nullptr, 'k'},
@@ -87,7 +94,8 @@
     }
     std::ostringstream text;
     text << in.rdbuf();
-    return kernel::settings::parse(file, text.str(), kernel::registered_settings());
+    BOOST_LEAF_AUTO(profile, kernel::profile_of(file, text.str()));
+    return kernel::settings::parse(file, text.str(), kernel::registered_settings(profile));
 }
 
 void wait_for_stop(const kernel::state_registry& state, runtime::fiber_thread& control) {
--- a/packages/daemon/operator_module.cpp
+++ b/packages/daemon/operator_module.cpp
@@ -2,8 +2,8 @@
 #include <memory>
 
 #include "daemon/instance_identity.h"
-#include "daemon/tier_state_publisher.h"
 #include "kernel/module_registration.h"
+#include "kernel/readiness.h"
 #include "kernel/state_registry.h"
 #include "runtime/http_server.h"
 #include "runtime/route_table.h"
@@ -19,7 +19,7 @@
 class operator_module {
 public:
     static kernel::module_descriptor descriptor() {
-        return {"operator", {"runtime", "instance", "tier_state", "peers"}, {}};
+        return {"operator", {"runtime", "instance"}, {}, {}, {"tier_state", "peers", "gateway", "fleet"}};
     }
 
     static kernel::result<std::shared_ptr<operator_module>> create(
@@ -36,8 +36,8 @@
         module->routes_->add(
             "GET", "/healthz",
             [stopping = module->stopping_,
-             publisher = context.require<tier_state_publisher>()](const runtime::http_request&) {
-                if (*stopping || publisher->state().read()->leaving) {
+             readiness = context.require<kernel::readiness>()](const runtime::http_request&) {
+                if (*stopping || !readiness->ready()) {
                     return runtime::http_response{service_unavailable, R"({"status":"leaving"})"};
                 }
                 return runtime::http_response{200, R"({"status":"serving"})"};
--- a/packages/daemon/store_module.cpp
+++ b/packages/daemon/store_module.cpp
@@ -16,7 +16,7 @@
         return {"store",
                 {"runtime"},
                 {{"store", "address", kernel::setting_kind::address, 0, 0, std::nullopt,
-                  "IP:PORT of the platform's store"}}};
+                  "IP:PORT of the platform's store"}}, {"search"}};
     }
 
     static kernel::result<std::shared_ptr<store_module>> create(kernel::module_context& context) {
--- a/packages/daemon/tier_state_module.cpp
+++ b/packages/daemon/tier_state_module.cpp
@@ -4,6 +4,7 @@
 #include "daemon/instance_identity.h"
 #include "daemon/tier_state_publisher.h"
 #include "kernel/module_registration.h"
+#include "kernel/readiness.h"
 #include "kernel/state_registry.h"
 
 namespace poplarfront::daemon {
@@ -34,7 +35,7 @@
 class tier_state_module {
 public:
     static kernel::module_descriptor descriptor() {
-        return {"tier_state", {"runtime", "instance"}, {}};
+        return {"tier_state", {"runtime", "instance"}, {}, {"search"}};
     }
 
     static kernel::result<std::shared_ptr<tier_state_module>> create(
@@ -44,6 +45,8 @@
         context.provide(publisher);
         context.require<kernel::state_registry>()->add(
             "tier", [publisher] { return to_json(*publisher->state().read()); });
+        context.require<kernel::readiness>()->add(
+            [publisher] { return !publisher->state().read()->leaving; });
         return std::make_shared<tier_state_module>();
     }
 
--- /dev/null
+++ b/packages/gateway/backend_reply.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "kernel/concepts.h"
+
+namespace poplarfront::gateway {
+
+/// The load that a backend server tells with a reply.
+struct reported_load {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    /// Never 0.
+    std::uint32_t slots = 1;
+    friend auto operator<=>(const reported_load&, const reported_load&) = default;
+};
+
+/// A complete reply of a backend server.
+struct backend_reply {
+    unsigned status = 0;
+    /// The backend server's signature of this reply; empty if it has none.
+    std::string signature;
+    std::string body;
+    /// The header fields that are passed on; empty for a part of a gather.
+    std::vector<std::pair<std::string, std::string>> fields;
+    std::optional<reported_load> load;
+    /// False if the backend server says that it has not run the request and will not.
+    bool executed = true;
+    /// Whether a client takes the status for a promise that the request has not run.
+    bool reads_as_not_run = false;
+    /// Whether the address now belongs to another backend server, which did not run the request.
+    bool misdirected = false;
+
+    [[nodiscard]] bool success() const {
+        constexpr unsigned lowest = 200;
+        constexpr unsigned above = 300;
+        return status >= lowest && status < above;
+    }
+    friend auto operator<=>(const backend_reply&, const backend_reply&) = default;
+};
+
+/// How an attempt ended.
+enum class attempt_end {
+    /// A complete reply is there.
+    replied,
+    /// No byte of the request has left.
+    not_sent,
+    /// The connection ended, or bytes arrived that are not a reply to this request, after a part of
+    /// the request may have left.
+    lost,
+    /// No reply in time after a part of the request may have left.
+    timed_out,
+};
+
+[[nodiscard]] constexpr std::string_view to_string(attempt_end end) {
+    switch (end) {
+        case attempt_end::replied:
+            return "replied";
+        case attempt_end::not_sent:
+            return "not_sent";
+        case attempt_end::lost:
+            return "lost";
+        case attempt_end::timed_out:
+            return "timed_out";
+    }
+    return "unknown";
+}
+
+struct attempt_result {
+    attempt_end end = attempt_end::not_sent;
+    /// Only meaningful if replied.
+    backend_reply reply;
+    friend auto operator<=>(const attempt_result&, const attempt_result&) = default;
+};
+
+}  // namespace poplarfront::gateway
--- /dev/null
+++ b/packages/gateway/internal/fleet_tracker.cpp
@@ -0,0 +1,139 @@
+#include "gateway/fleet_tracker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarfront::gateway {
+
+bool fleet_tracker::on_configuration(std::shared_ptr<const gateway_configuration> configuration) {
+    if (configuration_ != nullptr && configuration->version <= configuration_->version) {
+        return false;
+    }
+    configuration_ = std::move(configuration);
+    changed_ = true;
+    return true;
+}
+
+bool fleet_tracker::is_newer(const model::server_id& id, std::uint64_t revision) const {
+    const auto it = rows_.find(id);
+    return it == rows_.end() || revision > it->second.revision;
+}
+
+void fleet_tracker::on_backend(backend_entry entry, std::uint64_t revision) {
+    if (!is_newer(entry.id, revision)) {
+        return;
+    }
+    auto& row = rows_[entry.id];
+    row.revision = revision;
+    row.remove_at.reset();
+    if (row.entry != nullptr && *row.entry == entry) {
+        return;
+    }
+    row.entry = std::make_shared<const backend_entry>(std::move(entry));
+    changed_ = true;
+}
+
+void fleet_tracker::on_unusable_backend(const model::server_id& id, std::uint64_t revision) {
+    if (is_newer(id, revision)) {
+        rows_[id] = row{nullptr, revision, std::nullopt};
+        changed_ = true;
+    }
+}
+
+void fleet_tracker::on_backend_removed(const model::server_id& id, std::uint64_t revision,
+                                       kernel::time_point now) {
+    if (!is_newer(id, revision)) {
+        return;
+    }
+    auto& row = rows_[id];
+    row.revision = revision;
+    const bool follows_trouble = last_trouble_ && now - *last_trouble_ < options_.trouble_memory;
+    if (row.entry != nullptr && row.entry->state == backend_state::ready && follows_trouble) {
+        row.remove_at = now + options_.removal_grace;
+        return;
+    }
+    row.entry = nullptr;
+    row.remove_at.reset();
+    changed_ = true;
+}
+
+void fleet_tracker::on_backends_listed(const std::set<model::server_id>& listed,
+                                       std::uint64_t revision, kernel::time_point now) {
+    std::vector<model::server_id> gone;
+    for (const auto& [id, row] : rows_) {
+        if (row.entry != nullptr && !row.remove_at && !listed.contains(id)) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        on_backend_removed(id, revision, now);
+    }
+}
+
+void fleet_tracker::on_store_contact(bool reached, kernel::time_point now) {
+    if (!reached) {
+        last_trouble_ = now;
+    }
+    changed_ = changed_ || current_ != reached;
+    current_ = reached;
+}
+
+std::optional<kernel::time_point> fleet_tracker::next_timer() const {
+    std::optional<kernel::time_point> next;
+    for (const auto& [id, row] : rows_) {
+        if (row.remove_at && (!next || *row.remove_at < *next)) {
+            next = row.remove_at;
+        }
+    }
+    return next;
+}
+
+void fleet_tracker::on_timer(kernel::time_point now) {
+    for (auto& [id, row] : rows_) {
+        if (row.remove_at && *row.remove_at <= now) {
+            row.entry = nullptr;
+            row.remove_at.reset();
+            changed_ = true;
+        }
+    }
+}
+
+void fleet_tracker::on_instance_removed(const std::string& name, kernel::time_point now) {
+    if (const auto it = instances_.find(name); it != instances_.end() && !it->second) {
+        it->second = now;
+    }
+}
+
+void fleet_tracker::on_instances_listed(const std::set<std::string>& names,
+                                        kernel::time_point now) {
+    for (const auto& [name, removed_at] : instances_) {
+        if (!names.contains(name)) {
+            on_instance_removed(name, now);
+        }
+    }
+    for (const auto& name : names) {
+        on_instance(name);
+    }
+}
+
+fleet_view fleet_tracker::take_view(kernel::time_point now) {
+    changed_ = false;
+    std::erase_if(instances_, [&](const auto& it) {
+        return it.second && now - *it.second > options_.instance_memory;
+    });
+    fleet_view view;
+    view.configuration = configuration_;
+    if (configuration_ != nullptr) {
+        view.routes = route_index{configuration_};
+    }
+    for (const auto& [id, row] : rows_) {
+        if (row.entry != nullptr && row.entry->state == backend_state::ready) {
+            view.backends[row.entry->service].push_back(row.entry);
+        }
+    }
+    view.instances = static_cast<std::uint32_t>(std::max<std::size_t>(1, instances_.size()));
+    view.current = current_;
+    return view;
+}
+
+}  // namespace poplarfront::gateway
--- /dev/null
+++ b/packages/gateway/internal/route_index.cpp
@@ -0,0 +1,50 @@
+#include "gateway/route_index.h"
+
+#include <algorithm>
+#include <cctype>
+#include <string>
+#include <tuple>
+
+namespace poplarfront::gateway {
+namespace {
+
+std::string normalised_host(std::string_view host) {
+    const auto colon = host.rfind(':');
+    std::string text{host.substr(0, colon)};
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+std::tuple<std::string_view, std::string_view> key_of(const route& it) {
+    return {it.host, it.path_prefix};
+}
+
+}  // namespace
+
+route_index::route_index(std::shared_ptr<const gateway_configuration> configuration)
+    : configuration_(std::move(configuration)) {
+    for (const auto& it : configuration_->routes) {
+        sorted_.push_back(&it);
+    }
+    std::sort(sorted_.begin(), sorted_.end(),
+              [](const auto* a, const auto* b) { return key_of(*a) < key_of(*b); });
+}
+
+const route* route_index::find(std::string_view host, std::string_view path) const {
+    const auto wanted = normalised_host(host);
+    std::string_view prefix = path.substr(0, path.find('?'));
+    // Every prefix ends with a slash, so only the parts of the path up to a slash can be one.
+    for (auto slash = prefix.rfind('/'); slash != std::string_view::npos;
+         slash = slash == 0 ? std::string_view::npos : prefix.rfind('/', slash - 1)) {
+        const auto key = std::tuple{std::string_view{wanted}, prefix.substr(0, slash + 1)};
+        const auto it = std::lower_bound(sorted_.begin(), sorted_.end(), key,
+                                         [](const auto* a, const auto& b) { return key_of(*a) < b; });
+        if (it != sorted_.end() && key_of(**it) == key) {
+            return *it;
+        }
+    }
+    return nullptr;
+}
+
+}  // namespace poplarfront::gateway
--- /dev/null
+++ b/packages/gateway/route_statistics.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <algorithm>
+
+#include "kernel/concepts.h"
+#include "retry/latency_quantile.h"
+
+namespace poplarfront::gateway {
+
+/// What was observed of the requests of one route. Not thread-safe.
+class route_statistics {
+public:
+    void on_patience(kernel::duration patience) {
+        longest_patience_ = std::max(longest_patience_, patience);
+    }
+    void on_latency(kernel::duration latency) { latencies_.observe(latency); }
+
+    /// How long before this attempt the client sent its first one: attempts after the first come
+    /// with less patience than a client starts with.
+    [[nodiscard]] kernel::duration spent_before(kernel::duration patience) const {
+        return std::max(kernel::duration::zero(), longest_patience_ - patience);
+    }
+
+    /// The median latency of one attempt.
+    [[nodiscard]] kernel::duration typical(kernel::duration unknown) const {
+        constexpr double half = 0.5;
+        return latencies_.quantile(half).value_or(unknown);
+    }
+
+    /// The time after which an attempt counts as straggling. It is bounded by a multiple of the
+    /// median, because slow backend servers would else raise it until nothing straggles.
+    [[nodiscard]] kernel::duration straggling_after(double quantile,
+                                                    kernel::duration unknown) const {
+        constexpr int most_medians = 5;
+        constexpr int halves = 2;
+        const auto high = latencies_.quantile(quantile);
+        return high ? std::min(*high, typical(unknown) * most_medians / halves) : unknown;
+    }
+
+private:
+    kernel::duration longest_patience_{};
+    retry::latency_quantile latencies_;
+};
+
+}  // namespace poplarfront::gateway
--- /dev/null
+++ b/packages/gateway/session_options.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "kernel/concepts.h"
+
+namespace poplarfront::gateway {
+
+/// Times and limits of the gateway's decisions. Durations are from the settings.
+struct session_options {
+    /// How long before the objective an incomplete gather is answered: the way back to the client
+    /// (1 ms each way) and the merge on a share of a core.
+    kernel::duration answer_margin = std::chrono::milliseconds{10};
+    /// How long before the end of the client's patience the final answer is given.
+    kernel::duration end_margin = std::chrono::milliseconds{4};
+    /// The quantile of a route's latencies after which a second copy is sent.
+    double hedge_quantile = 0.93;
+    kernel::duration shortest_hedge_delay = std::chrono::milliseconds{4};
+    /// Extra requests per request for a service, below the 0.2 that the platform allows.
+    double extra_ratio = 0.16;
+    /// Extra requests in one window that the platform allows beyond the ratio, for all instances.
+    double extra_slack = 100;
+    /// Part of the slack that the instances divide among themselves; the rest is kept for instances
+    /// that do not know of each other yet.
+    double extra_slack_used = 0.7;
+    /// Part of a backend server's connections that the instances divide among themselves.
+    double connections_used = 0.9;
+    /// Most connections of one instance to one backend server.
+    std::uint32_t max_connections_per_backend = 4;
+    /// Cost of a backend server in another data centre, relative to a near one.
+    double remote_cost = 1.25;
+    /// Cost of a backend server that has just started, relative to a warm one.
+    double cold_cost = 1.6;
+    /// After the client has left, work that ends within this time is not broken off, since closing
+    /// a connection costs the backend server a new one.
+    kernel::duration abandon_delay = std::chrono::milliseconds{250};
+    /// Range of the time after which a client may come again.
+    kernel::duration shortest_retry_after = std::chrono::milliseconds{50};
+    kernel::duration longest_retry_after = std::chrono::milliseconds{250};
+    /// Name of the data centre of this instance.
+    std::string data_centre;
+};
+
+}  // namespace poplarfront::gateway
--- a/packages/kernel/internal/lifecycle.cpp
+++ b/packages/kernel/internal/lifecycle.cpp
@@ -7,26 +7,78 @@
 #include <set>
 
 namespace poplarfront::kernel {
+namespace {
 
-std::vector<setting_descriptor> registered_settings() {
-    std::vector<setting_descriptor> all;
+bool loads(std::string_view profile, const module_descriptor& module) {
+    const auto& names = module.profiles;
+    return names.empty() || std::find(names.begin(), names.end(), profile) != names.end();
+}
+
+std::vector<module_entry> modules_of(std::string_view profile) {
+    std::vector<module_entry> chosen;
     for (const auto& module : extension_point<module_entry>::entries()) {
+        if (loads(profile, module.descriptor)) {
+            chosen.push_back(module);
+        }
+    }
+    return chosen;
+}
+
+}  // namespace
+
+std::vector<setting_descriptor> registered_settings(std::string_view profile) {
+    std::vector<setting_descriptor> all{{"process", "profile", setting_kind::identifier, 0, 0,
+                                         std::string{default_profile},
+                                         "the set of modules that the process loads"}};
+    for (const auto& module : modules_of(profile)) {
         const auto& keys = module.descriptor.settings;
         all.insert(all.end(), keys.begin(), keys.end());
     }
     return all;
 }
 
+std::vector<std::string> profiles() {
+    std::set<std::string> names{std::string{default_profile}};
+    for (const auto& module : extension_point<module_entry>::entries()) {
+        names.insert(module.descriptor.profiles.begin(), module.descriptor.profiles.end());
+    }
+    return {names.begin(), names.end()};
+}
+
+result<std::string> profile_of(std::string_view file, std::string_view text) {
+    BOOST_LEAF_AUTO(entries, parse_ini(file, text));
+    for (const auto& it : entries) {
+        if (it.section != "process" || it.key != "profile") {
+            continue;
+        }
+        const auto known = profiles();
+        if (std::find(known.begin(), known.end(), it.value) == known.end()) {
+            return boost::leaf::new_error(settings_error{
+                fmt::format("{}:{}: [process] profile: \"{}\" is not a known profile", file, it.line,
+                            it.value)});
+        }
+        return it.value;
+    }
+    return std::string{default_profile};
+}
+
 result<std::vector<module_entry>> creation_order(std::vector<module_entry> modules) {
     std::sort(modules.begin(), modules.end(),
               [](const auto& a, const auto& b) { return a.descriptor.name < b.descriptor.name; });
     std::vector<module_entry> ordered;
     std::set<std::string> placed;
+    const auto waits = [&](const std::string& name) {
+        return std::any_of(modules.begin(), modules.end(),
+                           [&](const auto& it) { return it.descriptor.name == name; });
+    };
     while (!modules.empty()) {
         const auto ready = std::find_if(modules.begin(), modules.end(), [&](const auto& it) {
             const auto& needs = it.descriptor.dependencies;
+            const auto& after = it.descriptor.after;
             return std::all_of(needs.begin(), needs.end(),
-                               [&](const auto& name) { return placed.contains(name); });
+                               [&](const auto& name) { return placed.contains(name); }) &&
+                   std::none_of(after.begin(), after.end(),
+                                [&](const auto& name) { return waits(name); });
         });
         if (ready == modules.end()) {
             return boost::leaf::new_error(
@@ -41,7 +93,8 @@
 }
 
 result<lifecycle> lifecycle::start(module_context& context) {
-    BOOST_LEAF_AUTO(ordered, creation_order(extension_point<module_entry>::entries()));
+    BOOST_LEAF_AUTO(ordered, creation_order(modules_of(
+                                 context.process_settings().text("process", "profile"))));
     std::vector<running_module> created;
     for (const auto& module : ordered) {
         BOOST_LEAF_AUTO(running, module.create(context));
--- a/packages/kernel/internal/settings.cpp
+++ b/packages/kernel/internal/settings.cpp
@@ -62,6 +62,15 @@
     return n;
 }
 
+std::optional<double> to_decimal(std::string_view text) {
+    double n = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (ec != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return n;
+}
+
 bool is_address(std::string_view text) {
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos || colon == 0) {
@@ -92,6 +101,15 @@
             }
             return std::nullopt;
         }
+        case setting_kind::decimal: {
+            const auto n = to_decimal(value);
+            // A comparison with NaN is false, so it is refused too.
+            if (n && *n >= static_cast<double>(descriptor.minimum) &&
+                *n <= static_cast<double>(descriptor.maximum)) {
+                return std::nullopt;
+            }
+            return fmt::format("a number from {} to {}", descriptor.minimum, descriptor.maximum);
+        }
         case setting_kind::address:
             return is_address(value) ? std::nullopt
                                      : std::optional<std::string>{"an address as IP:PORT"};
@@ -166,6 +184,10 @@
     return to_integer(text(section, key)).value_or(0);
 }
 
+double settings::decimal(std::string_view section, std::string_view key) const {
+    return to_decimal(text(section, key)).value_or(0);
+}
+
 std::vector<std::string> settings::list(std::string_view section, std::string_view key) const {
     std::vector<std::string> parts;
     std::string_view rest = text(section, key);
--- a/packages/kernel/module_registration.h
+++ b/packages/kernel/module_registration.h
@@ -26,6 +26,10 @@
     /// Modules that are created before this one and stopped after it.
     std::vector<std::string> dependencies;
     std::vector<setting_descriptor> settings;
+    /// The profiles that load the module; empty: all of them.
+    std::vector<std::string> profiles = {};
+    /// Modules that are created before this one if the profile loads them.
+    std::vector<std::string> after = {};
 };
 
 /// A running module, without its type.
--- a/packages/kernel/settings.h
+++ b/packages/kernel/settings.h
@@ -18,9 +18,9 @@
     friend auto operator<=>(const settings_error&, const settings_error&) = default;
 };
 
-enum class setting_kind { text, integer, address, identifier, list };
+enum class setting_kind { text, integer, decimal, address, identifier, list };
 
-/// One key that a module accepts. `minimum` and `maximum` bound integers and text lengths.
+/// One key that a module accepts. `minimum` and `maximum` bound numbers.
 struct setting_descriptor {
     std::string section;
     std::string key;
@@ -45,6 +45,7 @@
     /// Precondition for all getters: the key has a descriptor.
     [[nodiscard]] const std::string& text(std::string_view section, std::string_view key) const;
     [[nodiscard]] std::int64_t integer(std::string_view section, std::string_view key) const;
+    [[nodiscard]] double decimal(std::string_view section, std::string_view key) const;
     /// The comma-separated parts of a value, trimmed; empty for an empty value.
     [[nodiscard]] std::vector<std::string> list(std::string_view section,
                                                 std::string_view key) const;
--- a/packages/kernel/tests/lifecycle_test.cpp
+++ b/packages/kernel/tests/lifecycle_test.cpp
@@ -47,7 +47,7 @@
 const module_registration<noted_module<'b'>> module_b;
 
 TEST_CASE("every module learns of a stop before the first is stopped, and outlives the last stop") {
-    const auto empty = settings::parse("a.ini", "", {});
+    const auto empty = settings::parse("a.ini", "", registered_settings(default_profile));
     REQUIRE(empty);
     module_context context{empty.value()};
     auto running = lifecycle::start(context);
@@ -57,6 +57,49 @@
                                             "stop b", "stop a", "destroy b", "destroy a"});
 }
 
+/// Belongs to one profile only.
+class profiled_module {
+public:
+    static module_descriptor descriptor() {
+        return {"profiled", {}, {{"profiled", "key", setting_kind::text}}, {"extra"}};
+    }
+    static result<std::shared_ptr<profiled_module>> create(module_context&) {
+        return std::make_shared<profiled_module>();
+    }
+    result<void> start() { return {}; }
+    void stop() {}
+};
+
+const module_registration<profiled_module> module_profiled;
+
+std::vector<std::string> sections_of(std::string_view profile) {
+    std::vector<std::string> sections;
+    for (const auto& it : registered_settings(profile)) {
+        sections.push_back(it.section);
+    }
+    return sections;
+}
+
+TEST_CASE("a required key of a module that the profile does not load is not asked for") {
+    CHECK(sections_of(default_profile) == std::vector<std::string>{"process"});
+    CHECK(sections_of("extra") == std::vector<std::string>{"process", "profiled"});
+}
+
+TEST_CASE("a profile that no module names is refused instead of starting nothing") {
+    CHECK(profile_of("a.ini", "[process]\nprofile = extra\n").value() == "extra");
+    CHECK(profile_of("a.ini", "").value() == default_profile);
+    CHECK_FALSE(profile_of("a.ini", "[process]\nprofile = unknown\n"));
+}
+
+TEST_CASE("a module waits for those it comes after only where they are loaded") {
+    auto late = entry("a", {});
+    late.descriptor.after = {"b", "absent"};
+    const auto ordered = creation_order({late, entry("b", {})});
+    REQUIRE(ordered);
+    CHECK(ordered->at(0).descriptor.name == "b");
+    CHECK(ordered->at(1).descriptor.name == "a");
+}
+
 TEST_CASE("a circular dependency is refused instead of looping") {
     CHECK_FALSE(creation_order({entry("a", {"b"}), entry("b", {"a"})}));
 }
--- /dev/null
+++ b/packages/proxy/attempt_calls.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gateway/request_session.h"
+#include "proxy/backend_pool.h"
+#include "proxy/gateway_protocol.h"
+
+namespace poplarfront::proxy {
+
+/// Carries out what one request's session asks for: calls to backend servers, and the answer.
+///
+/// Thread safety: none; it belongs to one traffic thread.
+template <gateway_protocol Protocol>
+class attempt_calls {
+public:
+    using answer_handler = std::function<void(gateway::gateway_answer)>;
+
+    attempt_calls(backend_pool<Protocol>& pool, forwarded_request forwarded, std::string id,
+                  reply_fields fields, answer_handler on_answer)
+        : pool_(pool),
+          forwarded_(std::move(forwarded)),
+          id_(std::move(id)),
+          fields_(fields),
+          on_answer_(std::move(on_answer)) {}
+
+    /// Makes the handler for the results of one attempt. It has to keep the session alive.
+    using handler_source = std::function<std::function<void(gateway::attempt_result)>(
+        gateway::attempt_number)>;
+    /// Precondition: called before the first send.
+    void on_results(handler_source source) { handler_for_ = std::move(source); }
+
+    void send(gateway::attempt_number attempt, const gateway::backend_entry& backend,
+              kernel::time_point until) {
+        backend_call call;
+        call.bytes =
+            Protocol::backend_request(forwarded_, backend, until - kernel::time_point::clock::now());
+        call.request_id = id_;
+        call.fields = fields_;
+        call.without_reply_body = forwarded_.without_reply_body;
+        call.until = until;
+        call.on_end = handler_for_(attempt);
+        calls_.push_back(pool_.start(backend, std::move(call)));
+    }
+
+    void cancel(gateway::attempt_number attempt) { pool_.cancel(calls_.at(attempt)); }
+
+    void answer(gateway::gateway_answer answer) {
+        if (auto handler = std::exchange(on_answer_, nullptr)) {
+            handler(std::move(answer));
+        }
+    }
+
+    /// The answer is not wanted any more.
+    void forget_answer() { on_answer_ = nullptr; }
+
+private:
+    backend_pool<Protocol>& pool_;
+    forwarded_request forwarded_;
+    std::string id_;
+    reply_fields fields_;
+    answer_handler on_answer_;
+    handler_source handler_for_;
+    std::vector<typename backend_pool<Protocol>::call_handle> calls_;
+};
+
+}  // namespace poplarfront::proxy
--- /dev/null
+++ b/packages/proxy/backend_connection.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "gateway/backend_reply.h"
+#include "model/identifier.h"
+#include "proxy/gateway_protocol.h"
+
+namespace poplarfront::proxy {
+
+/// A call that is under way on a connection.
+struct backend_call {
+    std::string bytes;
+    std::string request_id;
+    reply_fields fields = reply_fields::none;
+    bool without_reply_body = false;
+    /// When the call is given up.
+    kernel::time_point until;
+    std::function<void(gateway::attempt_result)> on_end;
+};
+
+/// One connection to one backend server and the call that it carries. Belongs to a backend_pool.
+struct backend_connection {
+    explicit backend_connection(boost::asio::io_context& context) : socket(context) {}
+
+    model::server_id server;
+    boost::asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
+    std::optional<backend_call> call;
+    bool connected = false;
+    bool written = false;
+    kernel::time_point connect_until;
+    /// While idle: from then on the backend server may close it.
+    kernel::time_point usable_until;
+};
+
+}  // namespace poplarfront::proxy
--- /dev/null
+++ b/packages/proxy/backend_pool.h
@@ -0,0 +1,295 @@
+#pragma once
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <cerrno>
+#include <charconv>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "gateway/backend_entry.h"
+#include "proxy/backend_connection.h"
+#include "runtime/endpoint.h"
+
+namespace poplarfront::proxy {
+
+struct backend_pool_options {
+    kernel::duration connect_timeout = std::chrono::milliseconds{250};
+    /// How long after its end a call is still waited for, since a backend server answers at the end.
+    kernel::duration late_reply = std::chrono::milliseconds{30};
+    /// How long an idle connection is used again if the backend server tells no time.
+    kernel::duration default_idle = std::chrono::milliseconds{900};
+    /// How long before the time that the backend server tells an idle connection is given up.
+    kernel::duration idle_margin = std::chrono::milliseconds{500};
+    /// How often calls are checked for their end.
+    kernel::duration check_interval = std::chrono::milliseconds{25};
+    std::size_t max_reply_bytes = std::size_t{4} * 1024 * 1024;
+};
+
+/// Connections to backend servers, and the calls on them. A connection carries one call at a time
+/// and is used again only after a complete reply with nothing behind it.
+///
+/// Thread safety: none; all members are called on the thread that runs `context`.
+template <gateway_protocol Protocol>
+class backend_pool {
+public:
+    /// Names a call; null if it has ended.
+    using call_handle = std::weak_ptr<backend_connection>;
+
+    struct counters {
+        std::uint64_t opened = 0;
+        std::uint64_t reused = 0;
+        std::uint64_t failed_to_open = 0;
+        friend auto operator<=>(const counters&, const counters&) = default;
+    };
+
+    explicit backend_pool(boost::asio::io_context& context, backend_pool_options options = {})
+        : context_(context), options_(options), check_timer_(context) {}
+
+    /// Starts a call; its result arrives later through `call.on_end`.
+    call_handle start(const gateway::backend_entry& backend, backend_call call) {
+        if (auto idle = take_idle(backend.id)) {
+            ++counters_.reused;
+            idle->call = std::move(call);
+            busy_.insert(idle);
+            exchange(idle);
+            check_later();
+            return idle;
+        }
+        auto opened = std::make_shared<backend_connection>(context_);
+        opened->server = backend.id;
+        opened->call = std::move(call);
+        opened->connect_until = std::min(opened->call->until,
+                                         kernel::time_point::clock::now() + options_.connect_timeout);
+        busy_.insert(opened);
+        connect(opened, backend.address);
+        check_later();
+        return opened;
+    }
+
+    /// Breaks a call off; its result does not arrive.
+    void cancel(const call_handle& handle) {
+        if (const auto connection = handle.lock(); connection != nullptr && connection->call) {
+            connection->call.reset();
+            drop(connection);
+        }
+    }
+
+    /// Closes the idle connections to backend servers for which `keep` is false.
+    template <std::predicate<const model::server_id&> Keep>
+    void retain(const Keep& keep) {
+        std::erase_if(idle_, [&](const auto& it) { return !keep(it.first); });
+    }
+
+    void close() {
+        check_timer_.cancel();
+        idle_.clear();
+        const auto busy = std::exchange(busy_, {});
+        for (const auto& it : busy) {
+            it->call.reset();
+            close_socket(*it);
+        }
+    }
+
+    [[nodiscard]] const counters& count() const { return counters_; }
+    [[nodiscard]] std::size_t connections() const {
+        std::size_t n = busy_.size();
+        for (const auto& [id, connections] : idle_) {
+            n += connections.size();
+        }
+        return n;
+    }
+
+private:
+    using connection_ptr = std::shared_ptr<backend_connection>;
+    using error_code = boost::system::error_code;
+
+    static kernel::time_point now() { return kernel::time_point::clock::now(); }
+
+    connection_ptr take_idle(const model::server_id& server) {
+        const auto it = idle_.find(server);
+        if (it == idle_.end()) {
+            return nullptr;
+        }
+        auto& connections = it->second;
+        while (!connections.empty()) {
+            auto last = std::move(connections.back());
+            connections.pop_back();
+            if (now() < last->usable_until && is_silent(*last)) {
+                return last;
+            }
+            close_socket(*last);
+        }
+        return nullptr;
+    }
+
+    /// Whether nothing has arrived on an idle connection: neither its end nor bytes that belong to
+    /// no request.
+    static bool is_silent(backend_connection& idle) {
+        char byte = 0;
+        const auto n = ::recv(idle.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+    void connect(const connection_ptr& connection, const std::string& address) {
+        const auto endpoint = runtime::parse_endpoint(address);
+        if (!endpoint) {
+            boost::asio::post(context_, [this, connection] {
+                end(connection, {gateway::attempt_end::not_sent, {}});
+            });
+            return;
+        }
+        connection->socket.async_connect(*endpoint, [this, connection](const error_code& ec) {
+            if (!connection->call) {
+                return;
+            }
+            if (ec) {
+                ++counters_.failed_to_open;
+                end(connection, {gateway::attempt_end::not_sent, {}});
+                return;
+            }
+            ++counters_.opened;
+            connection->connected = true;
+            error_code ignored;
+            connection->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            exchange(connection);
+        });
+    }
+
+    void exchange(const connection_ptr& connection) {
+        connection->written = false;
+        // Most replies fit, so that one read is enough.
+        constexpr std::size_t usual_reply_bytes = 2048;
+        connection->buffer.reserve(usual_reply_bytes);
+        connection->parser.emplace();
+        connection->parser->body_limit(options_.max_reply_bytes);
+        if (connection->call->without_reply_body) {
+            connection->parser->skip(true);
+        }
+        boost::asio::async_write(connection->socket, boost::asio::buffer(connection->call->bytes),
+                                 [this, connection](const error_code& ec, std::size_t) {
+                                     connection->written = !ec;
+                                 });
+        boost::beast::http::async_read(connection->socket, connection->buffer, *connection->parser,
+                                       [this, connection](const error_code& ec, std::size_t) {
+                                           on_read(connection, ec);
+                                       });
+    }
+
+    void on_read(const connection_ptr& connection, const error_code& ec) {
+        if (!connection->call) {
+            return;
+        }
+        if (ec) {
+            end(connection, {gateway::attempt_end::lost, {}});
+            return;
+        }
+        const bool reusable = connection->parser->get().keep_alive() && connection->written &&
+                              connection->buffer.size() == 0 && !connection->parser->get().need_eof();
+        auto message = connection->parser->release();
+        connection->usable_until = now() + idle_time(message);
+        auto reply = Protocol::read_reply(std::move(message), connection->call->request_id,
+                                          connection->call->fields);
+        if (!reply) {
+            end(connection, {gateway::attempt_end::lost, {}});
+            return;
+        }
+        auto call = std::move(*connection->call);
+        connection->call.reset();
+        if (reusable) {
+            busy_.erase(connection);
+            idle_[connection->server].push_back(connection);
+        } else {
+            drop(connection);
+        }
+        call.on_end({gateway::attempt_end::replied, std::move(*reply)});
+    }
+
+    [[nodiscard]] kernel::duration idle_time(const http_response& message) const {
+        constexpr std::string_view parameter = "timeout=";
+        const std::string_view field{message[boost::beast::http::field::keep_alive].data(),
+                                     message[boost::beast::http::field::keep_alive].size()};
+        const auto at = field.find(parameter);
+        if (at == std::string_view::npos) {
+            return options_.default_idle;
+        }
+        const auto text = field.substr(at + parameter.size());
+        int seconds = 0;
+        std::from_chars(text.data(), text.data() + text.size(), seconds);
+        return std::max(kernel::duration{std::chrono::seconds{seconds}} - options_.idle_margin,
+                        kernel::duration::zero());
+    }
+
+    void end(const connection_ptr& connection, gateway::attempt_result result) {
+        auto call = std::move(*connection->call);
+        connection->call.reset();
+        drop(connection);
+        call.on_end(std::move(result));
+    }
+
+    void drop(const connection_ptr& connection) {
+        busy_.erase(connection);
+        close_socket(*connection);
+    }
+
+    static void close_socket(backend_connection& connection) {
+        error_code ignored;
+        connection.socket.close(ignored);
+    }
+
+    void check_later() {
+        if (checking_) {
+            return;
+        }
+        checking_ = true;
+        check_timer_.expires_after(options_.check_interval);
+        check_timer_.async_wait([this](const error_code& ec) {
+            checking_ = false;
+            if (!ec) {
+                end_overdue();
+            }
+        });
+    }
+
+    void end_overdue() {
+        const auto at = now();
+        std::vector<connection_ptr> overdue;
+        for (const auto& it : busy_) {
+            const bool unanswered = at >= it->call->until + options_.late_reply;
+            if (unanswered || (!it->connected && at >= it->connect_until)) {
+                overdue.push_back(it);
+            }
+        }
+        for (const auto& it : overdue) {
+            if (!it->call) {
+                continue;
+            }
+            // Other connections to a silent backend server may be silent too.
+            idle_.erase(it->server);
+            end(it, {it->connected ? gateway::attempt_end::timed_out : gateway::attempt_end::not_sent,
+                     {}});
+        }
+        if (!busy_.empty()) {
+            check_later();
+        }
+    }
+
+    boost::asio::io_context& context_;
+    backend_pool_options options_;
+    boost::asio::steady_timer check_timer_;
+    bool checking_ = false;
+    std::map<model::server_id, std::vector<connection_ptr>> idle_;
+    std::set<connection_ptr> busy_;
+    counters counters_;
+};
+
+}  // namespace poplarfront::proxy
--- /dev/null
+++ b/packages/proxy/fleet_publisher.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "gateway/fleet_tracker.h"
+#include "kernel/published.h"
+#include "runtime/fiber_thread.h"
+
+namespace poplarfront::proxy {
+
+/// Owns the fleet tracker on the control thread and publishes its view after each change.
+///
+/// Thread safety: `view` may be called from any thread, `apply` on the control thread only.
+class fleet_publisher : public std::enable_shared_from_this<fleet_publisher> {
+public:
+    using step = std::function<void(gateway::fleet_tracker&, kernel::time_point)>;
+    using view_ptr = std::shared_ptr<const kernel::published<gateway::fleet_view>>;
+
+    static std::shared_ptr<fleet_publisher> create(
+        const std::shared_ptr<runtime::fiber_thread>& control);
+
+    [[nodiscard]] view_ptr view() const { return view_; }
+
+    /// Passes news to the tracker and publishes the view if it has changed.
+    void apply(const step& step);
+
+    /// Called on the control thread after each publication. Set before the modules start.
+    void on_published(std::function<void()> handler) { on_published_ = std::move(handler); }
+
+    /// Precondition: nothing calls `apply` any more.
+    void stop() { timer_.cancel(); }
+
+private:
+    explicit fleet_publisher(boost::asio::io_context& context) : timer_(context) {}
+
+    void publish(kernel::time_point now);
+    void arm_timer();
+
+    gateway::fleet_tracker tracker_;
+    boost::asio::steady_timer timer_;
+    std::optional<kernel::time_point> armed_for_;
+    std::shared_ptr<kernel::published<gateway::fleet_view>> view_ =
+        std::make_shared<kernel::published<gateway::fleet_view>>(gateway::fleet_view{});
+    std::function<void()> on_published_;
+};
+
+}  // namespace poplarfront::proxy
--- /dev/null
+++ b/packages/proxy/front_server.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/fiber/operations.hpp>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "kernel/result.h"
+#include "proxy/client_connection.h"
+#include "proxy/front_server_options.h"
+#include "proxy/traffic_context.h"
+#include "runtime/await.h"
+#include "runtime/endpoint.h"
+#include "runtime/http_server.h"
+
+namespace poplarfront::proxy {
+
+/// Accepts the connections of clients on one traffic thread.
+///
+/// Thread safety: `start` and `stop` may be called from any thread but the server's own.
+template <gateway_protocol Protocol>
+class front_server : public std::enable_shared_from_this<front_server<Protocol>> {
+public:
+    static std::shared_ptr<front_server> create(std::shared_ptr<traffic_context<Protocol>> shared,
+                                                front_server_options options) {
+        return std::shared_ptr<front_server>(
+            new front_server(std::move(shared), std::move(options)));
+    }
+
+    /// Binds and listens. Errors: runtime::listen_error.
+    kernel::result<void> start() {
+        const auto endpoint = runtime::parse_endpoint(options_.address);
+        if (!endpoint) {
+            return boost::leaf::new_error(
+                runtime::listen_error{options_.address, "is not an address as IP:PORT"});
+        }
+        boost::system::error_code ec;
+        acceptor_.open(endpoint->protocol(), ec);
+        if (!ec) {
+            acceptor_.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true), ec);
+        }
+        if (!ec) {
+            acceptor_.bind(*endpoint, ec);
+        }
+        if (!ec) {
+            acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
+        }
+        if (ec) {
+            return boost::leaf::new_error(
+                runtime::listen_error{options_.address, ec.message()});
+        }
+        shared_->thread->spawn([self = this->shared_from_this()] { self->accept_loop(); });
+        return {};
+    }
+
+    /// Goes on serving for the stop delay, then takes no new requests, waits for those under way,
+    /// and closes all connections.
+    void stop() {
+        shared_->thread->run([self = this->shared_from_this()] { self->drain(); });
+    }
+
+private:
+    using connection = client_connection<Protocol>;
+
+    front_server(std::shared_ptr<traffic_context<Protocol>> shared, front_server_options options)
+        : shared_(std::move(shared)),
+          options_(std::move(options)),
+          acceptor_(shared_->thread->context()) {}
+
+    void accept_loop() {
+        while (acceptor_.is_open()) {
+            boost::asio::ip::tcp::socket socket{shared_->thread->context()};
+            const auto [ec] = runtime::await(
+                [&](auto handler) { acceptor_.async_accept(socket, handler); });
+            if (ec == boost::asio::error::operation_aborted) {
+                return;
+            }
+            if (ec) {
+                // Out of descriptors: wait for connections to close instead of looping.
+                constexpr auto retry_delay = std::chrono::milliseconds{20};
+                boost::this_fiber::sleep_for(retry_delay);
+                continue;
+            }
+            if (connections_.size() < options_.max_connections) {
+                serve(std::make_shared<connection>(shared_, std::move(socket)));
+            }
+        }
+    }
+
+    void serve(const std::shared_ptr<connection>& accepted) {
+        connections_.insert(accepted);
+        shared_->thread->spawn([self = this->shared_from_this(), accepted] {
+            accepted->serve();
+            self->connections_.erase(accepted);
+        });
+    }
+
+    void drain() {
+        constexpr auto check_interval = std::chrono::milliseconds{20};
+        const auto began = kernel::time_point::clock::now();
+        boost::this_fiber::sleep_until(began + options_.stop_delay);
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        const auto end = began + options_.drain;
+        while (!connections_.empty() && kernel::time_point::clock::now() < end) {
+            const auto open = connections_;
+            for (const auto& it : open) {
+                it->close_if_idle();
+            }
+            boost::this_fiber::sleep_for(check_interval);
+        }
+        shared_->pool.close();
+    }
+
+    std::shared_ptr<traffic_context<Protocol>> shared_;
+    front_server_options options_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::set<std::shared_ptr<connection>> connections_;
+};
+
+}  // namespace poplarfront::proxy
--- /dev/null
+++ b/packages/proxy/gateway_module.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "kernel/module_registration.h"
+#include "kernel/readiness.h"
+#include "kernel/state_registry.h"
+#include "metrics/metrics_json.h"
+#include "proxy/fleet_publisher.h"
+#include "proxy/front_server.h"
+#include "proxy/gateway_settings.h"
+#include "runtime/http_server.h"
+#include "runtime/thread_set.h"
+
+namespace poplarfront::proxy {
+
+/// Serves clients by a protocol. Each protocol registers it as a module of its own.
+template <gateway_protocol Protocol>
+class gateway_module {
+public:
+    static kernel::module_descriptor descriptor() {
+        return {"gateway", {"runtime", "instance", "fleet"}, gateway_settings(), {"gateway"}};
+    }
+
+    static kernel::result<std::shared_ptr<gateway_module>> create(
+        kernel::module_context& context) {
+        const auto& settings = context.process_settings();
+        const auto publisher = context.require<fleet_publisher>();
+        auto module = std::make_shared<gateway_module>();
+        module->threads_ = context.require<runtime::thread_set>();
+        module->ready_address_ = settings.text("gateway", "ready");
+        for (const auto& thread : module->threads_->traffic) {
+            auto shared = std::make_shared<traffic_context<Protocol>>(
+                thread, publisher->view(), session_options_from(settings), std::random_device{}());
+            module->servers_.push_back(
+                front_server<Protocol>::create(shared, server_options_from(settings)));
+            module->contexts_.push_back(std::move(shared));
+        }
+        publisher->on_published([contexts = module->contexts_] { drop_idle_connections(contexts); });
+        module->add_conditions(context, publisher->view());
+        return module;
+    }
+
+    kernel::result<void> start() {
+        return boost::leaf::try_handle_some(
+            [&]() -> kernel::result<void> {
+                for (const auto& server : servers_) {
+                    BOOST_LEAF_CHECK(server->start());
+                }
+                runtime::http_server_options options;
+                options.address = ready_address_;
+                BOOST_LEAF_ASSIGN(
+                    ready_server_,
+                    runtime::http_server::create(
+                        threads_->control, options,
+                        [readiness = readiness_](const runtime::http_request&) {
+                            return readiness->ready() ? runtime::http_response{ok, "{}"}
+                                                      : runtime::http_response{unavailable, "{}"};
+                        }));
+                return {};
+            },
+            [](const runtime::listen_error& error) -> kernel::result<void> {
+                return boost::leaf::new_error(
+                    kernel::module_error{"gateway", error.address + ": " + error.message});
+            });
+    }
+
+    void begin_stop() {
+        for (const auto& it : contexts_) {
+            it->stopping = true;
+        }
+    }
+
+    void stop() {
+        for (const auto& it : servers_) {
+            it->stop();
+        }
+        constexpr auto limit = std::chrono::milliseconds{50};
+        ready_server_->stop(limit);
+    }
+
+private:
+    using context_list = std::vector<std::shared_ptr<traffic_context<Protocol>>>;
+
+    static constexpr unsigned ok = 200;
+    static constexpr unsigned unavailable = 503;
+
+    void add_conditions(kernel::module_context& context, const fleet_publisher::view_ptr& view) {
+        readiness_ = context.require<kernel::readiness>();
+        readiness_->add([view] { return view->read()->configuration != nullptr; });
+        readiness_->add([contexts = contexts_] { return !contexts.front()->stopping; });
+        context.require<kernel::state_registry>()->add("gateway",
+                                                       [contexts = contexts_] { return dump(contexts); });
+    }
+
+    /// Connections to backend servers that have left are of no use.
+    static void drop_idle_connections(const context_list& contexts) {
+        for (const auto& it : contexts) {
+            boost::asio::post(it->thread->context(), [it] {
+                const auto view = it->view->read();
+                std::set<model::server_id> known;
+                for (const auto& [service, backends] : view->backends) {
+                    for (const auto& backend : backends) {
+                        known.insert(backend->id);
+                    }
+                }
+                const auto keep = [&](const model::server_id& id) { return known.contains(id); };
+                it->pool.retain(keep);
+                it->state.replicas().retain(keep);
+            });
+        }
+    }
+
+    static std::string dump(const context_list& contexts) {
+        std::string text = "[";
+        for (const auto& it : contexts) {
+            it->thread->run([&] {
+                text += std::string{text.size() > 1 ? "," : ""} + "{\"open_requests\":" +
+                        std::to_string(it->open_requests) +
+                        ",\"connections\":" + std::to_string(it->pool.connections()) +
+                        ",\"latency\":" + metrics::encode_latency(it->latencies.snapshot()) +
+                        ",\"counters\":" + metrics::encode_counters(it->state.counters().snapshot()) +
+                        "}";
+            });
+        }
+        return text + "]";
+    }
+
+    std::shared_ptr<runtime::thread_set> threads_;
+    std::shared_ptr<kernel::readiness> readiness_;
+    context_list contexts_;
+    std::vector<std::shared_ptr<front_server<Protocol>>> servers_;
+    std::unique_ptr<runtime::http_server> ready_server_;
+    std::string ready_address_;
+};
+
+}  // namespace poplarfront::proxy
--- /dev/null
+++ b/packages/proxy/gateway_settings.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <vector>
+
+#include "gateway/session_options.h"
+#include "kernel/settings.h"
+#include "proxy/front_server_options.h"
+
+namespace poplarfront::proxy {
+
+/// The settings keys of the gateway.
+std::vector<kernel::setting_descriptor> gateway_settings();
+
+/// Precondition for both: the settings were checked against gateway_settings(). Thread-safe.
+gateway::session_options session_options_from(const kernel::settings& settings);
+front_server_options server_options_from(const kernel::settings& settings);
+
+}  // namespace poplarfront::proxy
--- /dev/null
+++ b/packages/proxy/internal/gateway_settings.cpp
@@ -0,0 +1,60 @@
+#include "proxy/gateway_settings.h"
+
+#include <chrono>
+
+namespace poplarfront::proxy {
+namespace {
+
+std::chrono::milliseconds ms(const kernel::settings& settings, std::string_view key) {
+    return std::chrono::milliseconds{settings.integer("gateway", key)};
+}
+
+}  // namespace
+
+std::vector<kernel::setting_descriptor> gateway_settings() {
+    using kernel::setting_kind;
+    constexpr std::int64_t max_connections = 100'000;
+    constexpr std::int64_t max_ms = 600'000;
+    constexpr std::int64_t max_extra = 1'000'000;
+    return {
+        {"gateway", "clients", setting_kind::address, 0, 0, std::nullopt, "IP:PORT for clients"},
+        {"gateway", "ready", setting_kind::address, 0, 0, std::nullopt,
+         "IP:PORT that tells the balancer whether the instance takes new connections"},
+        {"gateway", "max_connections", setting_kind::integer, 1, max_connections, "1024",
+         "client connections for each traffic thread"},
+        {"gateway", "stop_delay_ms", setting_kind::integer, 0, max_ms, "2500",
+         "how long a stop goes on taking new requests, in ms"},
+        {"gateway", "drain_ms", setting_kind::integer, 0, max_ms, "5500",
+         "longest time that a stop takes, stop_delay_ms included, in ms"},
+        {"gateway", "answer_margin_ms", setting_kind::integer, 0, max_ms, "10",
+         "how long before its objective an incomplete gather is answered, in ms"},
+        {"gateway", "extra_ratio", setting_kind::decimal, 0, 1, "0.2",
+         "extra requests to a service allowed for each request, of all instances"},
+        {"gateway", "extra_slack", setting_kind::decimal, 0, max_extra, "100",
+         "extra requests to a service allowed beyond the ratio, of all instances, in a window"},
+    };
+}
+
+gateway::session_options session_options_from(const kernel::settings& settings) {
+    // The ratio is kept below what is allowed, because the windows in which the backend servers'
+    // owners count begin at any time.
+    constexpr double ratio_used = 0.8;
+    gateway::session_options options;
+    options.answer_margin = ms(settings, "answer_margin_ms");
+    options.extra_ratio = ratio_used * settings.decimal("gateway", "extra_ratio");
+    options.extra_slack = settings.decimal("gateway", "extra_slack");
+    options.data_centre = settings.text("instance", "data_centre");
+    return options;
+}
+
+front_server_options server_options_from(const kernel::settings& settings) {
+    front_server_options options;
+    options.address = settings.text("gateway", "clients");
+    options.max_connections =
+        static_cast<std::size_t>(settings.integer("gateway", "max_connections"));
+    options.stop_delay = ms(settings, "stop_delay_ms");
+    options.drain = ms(settings, "drain_ms");
+    return options;
+}
+
+}  // namespace poplarfront::proxy
--- /dev/null
+++ b/packages/proxy/internal/request_log.cpp
@@ -0,0 +1,47 @@
+#include "proxy/request_log.h"
+
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+
+namespace poplarfront::proxy {
+namespace {
+
+double ms(kernel::duration span) {
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+std::string_view or_none(const std::string& text) {
+    return text.empty() ? std::string_view{"none"} : std::string_view{text};
+}
+
+}  // namespace
+
+void log_answer(const gateway::client_request& request, const gateway::route& route,
+                const gateway::gateway_answer& answer, kernel::duration elapsed) {
+    const auto& summary = answer.summary;
+    spdlog::info(
+        "event=answer request={} route={} outcome={} status={} reason=\"{}\" ms={:.1f} "
+        "patience_ms={:.0f} objective_ms={:.0f} config={} shards={} covered={} attempts={} "
+        "hedges={} retries={} over_budget={} last_failure={}",
+        request.id, route.name, gateway::to_string(answer.kind), answer.reply.status,
+        answer.reason, ms(elapsed), ms(request.patience), ms(route.objective),
+        summary.configuration_version, summary.shards, summary.covered, summary.attempts,
+        summary.hedges, summary.retries, summary.over_budget, or_none(summary.last_failure));
+}
+
+void log_client_gone(const gateway::client_request& request, const gateway::route& route,
+                     const gateway::request_summary& summary, kernel::duration elapsed) {
+    spdlog::info(
+        "event=client_gone request={} route={} ms={:.1f} patience_ms={:.0f} config={} shards={} "
+        "covered={} attempts={} last_failure={}",
+        request.id, route.name, ms(elapsed), ms(request.patience), summary.configuration_version,
+        summary.shards, summary.covered, summary.attempts, or_none(summary.last_failure));
+}
+
+void log_refused(std::string_view id, unsigned status, std::string_view reason) {
+    spdlog::info("event=refused request={} status={} reason=\"{}\"",
+                 id.empty() ? std::string_view{"none"} : id, status, reason);
+}
+
+}  // namespace poplarfront::proxy
--- /dev/null
+++ b/packages/proxy/request_log.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string_view>
+
+#include "gateway/client_request.h"
+#include "gateway/gateway_answer.h"
+#include "gateway/route.h"
+
+namespace poplarfront::proxy {
+
+/// Writes the line that explains how a request was answered. Thread-safe.
+void log_answer(const gateway::client_request& request, const gateway::route& route,
+                const gateway::gateway_answer& answer, kernel::duration elapsed);
+
+/// Writes the line for a request whose client left before the answer. Thread-safe.
+void log_client_gone(const gateway::client_request& request, const gateway::route& route,
+                     const gateway::request_summary& summary, kernel::duration elapsed);
+
+/// Writes the line for a request that was answered without a route or a decision. Thread-safe.
+void log_refused(std::string_view id, unsigned status, std::string_view reason);
+
+}  // namespace poplarfront::proxy
--- /dev/null
+++ b/packages/proxy/traffic_context.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+
+#include "gateway/fleet_view.h"
+#include "gateway/traffic_state.h"
+#include "kernel/published.h"
+#include "metrics/latency_histogram.h"
+#include "proxy/backend_pool.h"
+#include "runtime/fiber_thread.h"
+
+namespace poplarfront::proxy {
+
+/// What the connections of one traffic thread share.
+///
+/// Thread safety: `view` and `stopping` may be used from any thread, the rest from the traffic
+/// thread only.
+template <gateway_protocol Protocol>
+struct traffic_context {
+    traffic_context(std::shared_ptr<runtime::fiber_thread> traffic_thread,
+                    std::shared_ptr<const kernel::published<gateway::fleet_view>> published_view,
+                    gateway::session_options options, std::uint64_t seed)
+        : thread(std::move(traffic_thread)),
+          view(std::move(published_view)),
+          state(std::move(options), seed),
+          pool(thread->context()) {}
+
+    std::shared_ptr<runtime::fiber_thread> thread;
+    std::shared_ptr<const kernel::published<gateway::fleet_view>> view;
+    gateway::traffic_state state;
+    backend_pool<Protocol> pool;
+    metrics::latency_histogram latencies;
+    std::atomic<bool> stopping = false;
+    std::size_t open_requests = 0;
+};
+
+}  // namespace poplarfront::proxy
--- a/packages/retry/retry_budget.h
+++ b/packages/retry/retry_budget.h
@@ -29,6 +29,12 @@
     explicit retry_budget(retry_budget_options options = {})
         : options_(options), tokens_(options.burst) {}
 
+    /// Changes the most tokens that can be saved up.
+    void limit_burst(double burst) {
+        options_.burst = burst;
+        tokens_ = std::min(tokens_, burst);
+    }
+
     /// Counts a primary request.
     void on_primary(kernel::time_point now) {
         const double earned = observes_failures(now) ? options_.fault_ratio : options_.steady_ratio;
--- a/packages/routing/replica_stats.h
+++ b/packages/routing/replica_stats.h
@@ -26,6 +26,14 @@
     double tie_margin = 0.1;
 };
 
+/// A replica that may get a request.
+struct replica_candidate {
+    /// Never null.
+    const model::server_id* server = nullptr;
+    /// Multiplies its cost; more than 1 for one that is far away or still cold.
+    double cost_factor = 1;
+};
+
 /// What an owner has observed of each backend server, and the choice among replicas. Not
 /// thread-safe.
 class replica_stats {
@@ -91,20 +99,42 @@
     /// The backend server expected to answer first; absent if there are no candidates.
     [[nodiscard]] std::optional<model::server_id> choose(
         std::span<const model::server_id> candidates, kernel::time_point now) {
+        std::vector<replica_candidate> unweighted;
+        unweighted.reserve(candidates.size());
+        for (const auto& it : candidates) {
+            unweighted.push_back({&it});
+        }
+        const auto best = choose_index(unweighted, now);
+        return best ? std::optional{candidates[*best]} : std::nullopt;
+    }
+
+    /// The index of the candidate expected to answer first, costs weighted by the candidates'
+    /// factors; absent if there are no candidates.
+    [[nodiscard]] std::optional<std::size_t> choose_index(
+        std::span<const replica_candidate> candidates, kernel::time_point now) {
         if (candidates.empty()) {
             return std::nullopt;
         }
         const double typical = typical_latency(candidates);
         ++turn_;
-        const model::server_id* best = nullptr;
+        std::optional<std::size_t> best;
         for (std::size_t it = 0; it < candidates.size(); ++it) {
             // The start rotates, so that equal replicas share the load.
-            const auto& candidate = candidates[(it + turn_) % candidates.size()];
-            if (best == nullptr || better(candidate, *best, typical, now)) {
-                best = &candidate;
+            const auto index = (it + turn_) % candidates.size();
+            if (!best || better(candidates[index], candidates[*best], typical, now)) {
+                best = index;
             }
         }
-        return *best;
+        return best;
+    }
+
+    /// Notes that a request has been unanswered for `elapsed`, longer than expected.
+    void on_overdue(const model::server_id& server, kernel::duration elapsed,
+                    kernel::time_point now) {
+        auto& row = rows_[server];
+        if (seconds(elapsed) > row.latency) {
+            learn(row, elapsed, now);
+        }
     }
 
     /// Forgets backend servers without requests in flight for which `keep` is false.
@@ -157,11 +187,11 @@
     }
 
     /// The lowest known latency of the candidates, in seconds.
-    [[nodiscard]] double typical_latency(std::span<const model::server_id> candidates) const {
+    [[nodiscard]] double typical_latency(std::span<const replica_candidate> candidates) const {
         constexpr double unknown = 0.005;
         double lowest = 0;
         for (const auto& candidate : candidates) {
-            const auto it = rows_.find(candidate);
+            const auto it = rows_.find(*candidate.server);
             const double latency = it == rows_.end() ? 0 : it->second.latency;
             if (latency > 0 && (lowest == 0 || latency < lowest)) {
                 lowest = latency;
@@ -184,12 +214,12 @@
         return latency * queue * (1 + failure_penalty * recent_failures(row, now));
     }
 
-    [[nodiscard]] bool better(const model::server_id& left, const model::server_id& right,
+    [[nodiscard]] bool better(const replica_candidate& left, const replica_candidate& right,
                               double typical, kernel::time_point now) const {
-        const auto& left_row = row_of(left);
-        const auto& right_row = row_of(right);
-        const double left_cost = cost(left_row, typical, now);
-        const double right_cost = cost(right_row, typical, now);
+        const auto& left_row = row_of(*left.server);
+        const auto& right_row = row_of(*right.server);
+        const double left_cost = left.cost_factor * cost(left_row, typical, now);
+        const double right_cost = right.cost_factor * cost(right_row, typical, now);
         if (std::abs(left_cost - right_cost) > options_.tie_margin * right_cost) {
             return left_cost < right_cost;
         }
--- a/packages/runtime/internal/endpoint.h
+++ b/packages/runtime/endpoint.h
@@ -4,9 +4,9 @@
 #include <optional>
 #include <string>
 
-namespace poplarfront::runtime::internal {
+namespace poplarfront::runtime {
 
 /// Parses IP:PORT.
 std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(const std::string& address);
 
-}  // namespace poplarfront::runtime::internal
+}  // namespace poplarfront::runtime
--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -33,6 +33,10 @@
     call_result call(const std::string& address, const http_request& request,
                      kernel::time_point deadline, std::size_t max_connections);
 
+    /// Breaks off all calls under way and refuses later ones, for a stop. Runs on the client's
+    /// thread.
+    void abort();
+
     [[nodiscard]] counters count() const;
 
 private:
--- a/packages/runtime/internal/endpoint.cpp
+++ b/packages/runtime/internal/endpoint.cpp
@@ -1,8 +1,8 @@
-#include "runtime/internal/endpoint.h"
+#include "runtime/endpoint.h"
 
 #include <charconv>
 
-namespace poplarfront::runtime::internal {
+namespace poplarfront::runtime {
 
 std::optional<boost::asio::ip::tcp::endpoint> parse_endpoint(const std::string& address) {
     const auto colon = address.rfind(':');
@@ -20,4 +20,4 @@
     return boost::asio::ip::tcp::endpoint{ip, port};
 }
 
-}  // namespace poplarfront::runtime::internal
+}  // namespace poplarfront::runtime
--- a/packages/runtime/internal/http_client.cpp
+++ b/packages/runtime/internal/http_client.cpp
@@ -1,5 +1,6 @@
 #include "runtime/http_client.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -9,10 +10,11 @@
 #include <boost/fiber/mutex.hpp>
 #include <map>
 #include <mutex>
+#include <set>
 #include <vector>
 
 #include "runtime/await.h"
-#include "runtime/internal/endpoint.h"
+#include "runtime/endpoint.h"
 
 namespace poplarfront::runtime {
 namespace {
@@ -57,6 +59,23 @@
     return message;
 }
 
+/// Ends a connection that has gone silent within 3 s, also while a call waits for a long time.
+void detect_silence(tcp::socket& socket) {
+    constexpr int probe_interval_s = 1;
+    constexpr int probes = 2;
+    constexpr int unacknowledged_ms = 3000;
+    using probe_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using probe_pause = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using probe_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    beast::error_code ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(probe_idle(probe_interval_s), ignored);
+    socket.set_option(probe_pause(probe_interval_s), ignored);
+    socket.set_option(probe_count(probes), ignored);
+    socket.set_option(user_timeout(unacknowledged_ms), ignored);
+}
+
 call_status failure_of(const beast::error_code& ec) {
     return ec == beast::error::timeout ? call_status::timed_out : call_status::connection_lost;
 }
@@ -70,6 +89,9 @@
     call_result call(const std::string& address, const http_request& request,
                      kernel::time_point deadline, std::size_t max_connections) {
         ++counters_.calls;
+        if (aborted_) {
+            return {call_status::not_sent, {}};
+        }
         auto& pool = pools_[address];
         if (pool == nullptr) {
             pool = std::make_shared<address_pool>();
@@ -79,11 +101,21 @@
         if (connected == nullptr) {
             return {call_status::not_sent, {}};
         }
+        in_use_.insert(&connected->stream);
         auto [result, reusable] = exchange(*connected, address, request, deadline);
+        in_use_.erase(&connected->stream);
         release(*used, std::move(connected), reusable);
         return std::move(result);
     }
 
+    void abort() {
+        aborted_ = true;
+        const auto streams = in_use_;
+        for (auto* it : streams) {
+            it->close();
+        }
+    }
+
     [[nodiscard]] counters count() const { return counters_; }
 
 private:
@@ -120,20 +152,23 @@
     }
 
     std::unique_ptr<connection> open(const std::string& address, kernel::time_point deadline) {
-        const auto endpoint = internal::parse_endpoint(address);
+        const auto endpoint = parse_endpoint(address);
         if (!endpoint) {
             return nullptr;
         }
         auto opened = std::make_unique<connection>(
             connection{beast::tcp_stream{thread_->context()}, beast::flat_buffer{}});
         opened->stream.expires_at(deadline);
+        in_use_.insert(&opened->stream);
         const auto [ec] =
             await([&](auto handler) { opened->stream.async_connect(*endpoint, handler); });
-        if (ec) {
+        in_use_.erase(&opened->stream);
+        if (ec || aborted_) {
             return nullptr;
         }
         beast::error_code ignored;
         opened->stream.socket().set_option(tcp::no_delay(true), ignored);
+        detect_silence(opened->stream.socket());
         ++counters_.connections_opened;
         return opened;
     }
@@ -179,6 +214,9 @@
 
     std::shared_ptr<fiber_thread> thread_;
     std::map<std::string, std::shared_ptr<address_pool>> pools_;
+    /// Streams that a call waits on.
+    std::set<beast::tcp_stream*> in_use_;
+    bool aborted_ = false;
     counters counters_;
 };
 
@@ -197,6 +235,10 @@
     return implementation_->call(address, request, deadline, max_connections);
 }
 
+void http_client::abort() {
+    implementation_->abort();
+}
+
 http_client::counters http_client::count() const {
     return implementation_->count();
 }
--- a/packages/runtime/internal/http_server.cpp
+++ b/packages/runtime/internal/http_server.cpp
@@ -11,7 +11,7 @@
 #include <list>
 
 #include "runtime/await.h"
-#include "runtime/internal/endpoint.h"
+#include "runtime/endpoint.h"
 
 namespace poplarfront::runtime {
 namespace {
@@ -67,7 +67,7 @@
           acceptor_(thread_->context()) {}
 
     kernel::result<void> listen() {
-        const auto endpoint = internal::parse_endpoint(options_.address);
+        const auto endpoint = parse_endpoint(options_.address);
         if (!endpoint) {
             return boost::leaf::new_error(
                 listen_error{options_.address, "is not an address as IP:PORT"});
