--- a/packages/daemon/instance_module.cpp
+++ b/packages/daemon/instance_module.cpp
@@ -1,8 +1,11 @@
+#include <spdlog/spdlog.h>
+
 #include <chrono>
 #include <memory>
 
 #include "daemon/instance_identity.h"
 #include "kernel/module_registration.h"
+#include "kernel/reload.h"
 #include "membership/gossip_message.h"
 
 namespace poplarfront::daemon {
@@ -19,7 +22,7 @@
     static kernel::module_descriptor descriptor() {
         using kernel::setting_kind;
         return {"instance",
-                {},
+                {"runtime"},
                 {{"instance", "name", setting_kind::identifier, 0, 0, std::nullopt,
                   "unique name of this instance"},
                  {"instance", "data_centre", setting_kind::identifier, 0, 0, std::nullopt,
@@ -31,7 +34,7 @@
                  {"listen", "operators", setting_kind::address, 0, 0, std::nullopt,
                   "IP:PORT for operators"},
                  {"log", "level", setting_kind::identifier, 0, 0, "info",
-                  "trace, debug, info, warning, error or off"}}};
+                  "trace, debug, info, warning, error or off", true}}};
     }
 
     static kernel::result<std::shared_ptr<instance_module>> create(
@@ -43,6 +46,9 @@
             model::data_centre_id::trusted(settings.text("instance", "data_centre")),
             membership::first_incarnation(since_epoch()), settings.text("listen", "peers"),
             settings.text("listen", "operators")}));
+        context.require<kernel::reload_handlers>()->add([](const kernel::settings& next) {
+            spdlog::set_level(spdlog::level::from_str(next.text("log", "level")));
+        });
         return std::make_shared<instance_module>();
     }
 
--- a/packages/daemon/main/poplarfrontd.cpp
+++ b/packages/daemon/main/poplarfrontd.cpp
@@ -1,16 +1,20 @@
 #include <getopt.h>
+#include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <optional>
 #include <sstream>
 
 #include "kernel/lifecycle.h"
+#include "kernel/reload.h"
 #include "kernel/state_registry.h"
 #include "runtime/thread_set.h"
 
@@ -98,22 +102,108 @@
     return kernel::settings::parse(file, text.str(), kernel::registered_settings(profile));
 }
 
-void wait_for_stop(const kernel::state_registry& state, runtime::fiber_thread& control) {
-    boost::asio::io_context context;
-    boost::asio::signal_set stop_signals{context, SIGTERM, SIGINT};
-    boost::asio::signal_set dump_signal{context, SIGUSR1};
-    std::function<void()> wait_for_dump = [&] {
-        dump_signal.async_wait([&](const boost::system::error_code& ec, int) {
-            if (!ec) {
-                control.run([&] { spdlog::info("state {}", state.dump()); });
-                wait_for_dump();
-            }
+/// Takes over the settings file if it has changed, or leaves all settings as they are.
+class settings_reloader {
+public:
+    settings_reloader(std::string file, kernel::settings current,
+                      std::shared_ptr<const kernel::reload_handlers> handlers)
+        : file_(std::move(file)), current_(std::move(current)), handlers_(std::move(handlers)) {
+        read_ = state_of_file();
+    }
+
+    /// `asked`: also tells that nothing has changed.
+    void reload(bool asked) {
+        const auto state = state_of_file();
+        if (!asked && state == read_) {
+            return;
+        }
+        read_ = state;
+        boost::leaf::try_handle_all(
+            [&]() -> kernel::result<void> {
+                BOOST_LEAF_AUTO(next, load_settings(file_));
+                if (next == current_) {
+                    spdlog::info("event=reload outcome=unchanged file={}", file_);
+                    return {};
+                }
+                const auto profile = current_.text("process", "profile");
+                BOOST_LEAF_CHECK(kernel::check_reload(current_, next,
+                                                      kernel::registered_settings(profile)));
+                handlers_->apply(next);
+                spdlog::info("event=reload outcome=applied file={} keys=\"{}\"", file_,
+                             fmt::join(next.differences(current_), ", "));
+                current_ = std::move(next);
+                return {};
+            },
+            [&](const kernel::settings_error& error) {
+                spdlog::error("event=reload outcome=refused file={} message=\"{}\"", file_,
+                              error.message);
+            },
+            [&] { spdlog::error("event=reload outcome=refused file={}", file_); });
+    }
+
+private:
+    using file_state = std::pair<std::filesystem::file_time_type, std::uintmax_t>;
+
+    [[nodiscard]] file_state state_of_file() const {
+        std::error_code ec;
+        const auto time = std::filesystem::last_write_time(file_, ec);
+        return {time, std::filesystem::file_size(file_, ec)};
+    }
+
+    std::string file_;
+    kernel::settings current_;
+    std::shared_ptr<const kernel::reload_handlers> handlers_;
+    file_state read_;
+};
+
+/// Serves the signals of the process until one asks it to stop.
+class signal_loop {
+public:
+    signal_loop(const kernel::state_registry& state, runtime::fiber_thread& control,
+                settings_reloader& reloader)
+        : state_(state), control_(control), reloader_(reloader) {}
+
+    void run() {
+        stop_.async_wait([this](const boost::system::error_code&, int) { context_.stop(); });
+        wait_for_dump();
+        wait_for_reload();
+        check_file_later();
+        context_.run();
+    }
+
+private:
+    void wait_for_dump() {
+        dump_.async_wait([this](const boost::system::error_code&, int) {
+            control_.run([this] { spdlog::info("state {}", state_.dump()); });
+            wait_for_dump();
         });
-    };
-    wait_for_dump();
-    stop_signals.async_wait([&](const boost::system::error_code&, int) { dump_signal.cancel(); });
-    context.run();
-}
+    }
+
+    void wait_for_reload() {
+        reload_.async_wait([this](const boost::system::error_code&, int) {
+            reloader_.reload(true);
+            wait_for_reload();
+        });
+    }
+
+    void check_file_later() {
+        constexpr auto interval = std::chrono::seconds{2};
+        file_timer_.expires_after(interval);
+        file_timer_.async_wait([this](const boost::system::error_code&) {
+            reloader_.reload(false);
+            check_file_later();
+        });
+    }
+
+    const kernel::state_registry& state_;
+    runtime::fiber_thread& control_;
+    settings_reloader& reloader_;
+    boost::asio::io_context context_;
+    boost::asio::signal_set stop_{context_, SIGTERM, SIGINT};
+    boost::asio::signal_set dump_{context_, SIGUSR1};
+    boost::asio::signal_set reload_{context_, SIGHUP};
+    boost::asio::steady_timer file_timer_{context_};
+};
 
 kernel::result<int> run(const options& parsed) {
     BOOST_LEAF_AUTO(settings, load_settings(parsed.config_file));
@@ -124,14 +214,18 @@
     const auto name = settings.text("instance", "name");
     spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %^%l%$ instance=" + name + " %v");
     spdlog::set_level(spdlog::level::from_str(settings.text("log", "level")));
-    kernel::module_context context{std::move(settings)};
+    kernel::module_context context{settings};
     BOOST_LEAF_AUTO(running, kernel::lifecycle::start(context));
-    spdlog::info("started");
-    wait_for_stop(*context.require<kernel::state_registry>(),
-                  *context.require<runtime::thread_set>()->control);
-    spdlog::info("stopping");
+    spdlog::info("event=start outcome=started version={} profile={}", POPLARFRONT_VERSION,
+                 settings.text("process", "profile"));
+    settings_reloader reloader{parsed.config_file, std::move(settings),
+                               context.require<kernel::reload_handlers>()};
+    signal_loop{*context.require<kernel::state_registry>(),
+                *context.require<runtime::thread_set>()->control, reloader}
+        .run();
+    spdlog::info("event=stop outcome=begun");
     running.stop();
-    spdlog::info("stopped");
+    spdlog::info("event=stop outcome=done");
     return exit_ok;
 }
 
@@ -145,6 +239,10 @@
 
 int main(int argc, char** argv) {
     using namespace poplarfront;
+    // A SIGHUP before the signal loop runs has nothing to reload, and a reader of the log that goes
+    // away must not end the process.
+    std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGPIPE, SIG_IGN);
     const auto parsed = daemon::parse_options(argc, argv);
     if (parsed.exit_code) {
         return *parsed.exit_code;
--- a/packages/gateway/traffic_state.h
+++ b/packages/gateway/traffic_state.h
@@ -32,6 +32,11 @@
         : options_(std::move(options)), random_(seed), quarantine_(quarantine_options()) {}
 
     [[nodiscard]] const session_options& options() const { return options_; }
+    /// Sets options for decisions from now on.
+    void set_options(session_options options) {
+        options_ = std::move(options);
+        budgets_.clear();
+    }
     routing::replica_stats& replicas() { return replicas_; }
     routing::crash_quarantine& quarantine() { return quarantine_; }
     metrics::counter_set& counters() { return counters_; }
--- a/packages/kernel/internal/settings.cpp
+++ b/packages/kernel/internal/settings.cpp
@@ -126,6 +126,10 @@
 
 }  // namespace
 
+std::string setting_name(std::string_view section, std::string_view key) {
+    return fmt::format("[{}] {}", section, key);
+}
+
 result<std::vector<ini_entry>> parse_ini(std::string_view file, std::string_view text) {
     parse_state state{.rest = text};
     const int error_line = ini_parse_stream(read_line, &state, add_entry, &state);
@@ -176,6 +180,17 @@
     return settings{std::move(found)};
 }
 
+std::vector<std::string> settings::differences(const settings& other) const {
+    std::vector<std::string> keys;
+    for (const auto& [key, value] : values_) {
+        const auto it = other.values_.find(key);
+        if (it == other.values_.end() || it->second != value) {
+            keys.push_back(setting_name(key.first, key.second));
+        }
+    }
+    return keys;
+}
+
 const std::string& settings::text(std::string_view section, std::string_view key) const {
     return values_.at({std::string{section}, std::string{key}});
 }
--- /dev/null
+++ b/packages/kernel/reload.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <functional>
+#include <utility>
+#include <vector>
+
+#include "kernel/settings.h"
+
+namespace poplarfront::kernel {
+
+/// Passes new settings on to the modules that take them while they run.
+///
+/// Thread safety: `add` is called on the main thread before modules start; `apply` on the main
+/// thread afterwards.
+class reload_handlers {
+public:
+    using handler = std::function<void(const settings&)>;
+
+    void add(handler handler) { handlers_.push_back(std::move(handler)); }
+
+    void apply(const settings& next) const {
+        for (const auto& it : handlers_) {
+            it(next);
+        }
+    }
+
+private:
+    std::vector<handler> handlers_;
+};
+
+/// Whether running modules can take `next` in place of `current`: only reloadable keys differ.
+/// Errors: settings_error that names the first other key.
+result<void> check_reload(const settings& current, const settings& next,
+                          const std::vector<setting_descriptor>& known);
+
+}  // namespace poplarfront::kernel
--- a/packages/kernel/settings.h
+++ b/packages/kernel/settings.h
@@ -30,9 +30,14 @@
     /// Absent: the key is required.
     std::optional<std::string> default_value;
     std::string description;
+    /// Whether a running process takes a new value.
+    bool reloadable = false;
     friend auto operator<=>(const setting_descriptor&, const setting_descriptor&) = default;
 };
 
+/// A key as messages name it. Thread-safe.
+std::string setting_name(std::string_view section, std::string_view key);
+
 /// The checked settings of a process. Immutable; safe to read from any thread.
 class settings {
 public:
@@ -50,6 +55,10 @@
     [[nodiscard]] std::vector<std::string> list(std::string_view section,
                                                 std::string_view key) const;
 
+    /// The keys, as `[section] key`, whose values differ between these settings and others of the
+    /// same descriptors.
+    [[nodiscard]] std::vector<std::string> differences(const settings& other) const;
+
     friend bool operator==(const settings&, const settings&) = default;
 
 private:
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -10,6 +10,7 @@
 
 #include "kernel/module_registration.h"
 #include "kernel/readiness.h"
+#include "kernel/reload.h"
 #include "kernel/state_registry.h"
 #include "metrics/metrics_json.h"
 #include "proxy/fleet_publisher.h"
@@ -43,6 +44,15 @@
             module->contexts_.push_back(std::move(shared));
         }
         publisher->on_published([contexts = module->contexts_] { drop_idle_connections(contexts); });
+        context.require<kernel::reload_handlers>()->add(
+            [contexts = module->contexts_](const kernel::settings& next) {
+                for (const auto& it : contexts) {
+                    boost::asio::post(it->thread->context(),
+                                      [it, options = session_options_from(next)] {
+                                          it->state.set_options(options);
+                                      });
+                }
+            });
         module->add_conditions(context, publisher->view());
         return module;
     }
--- a/packages/proxy/internal/gateway_settings.cpp
+++ b/packages/proxy/internal/gateway_settings.cpp
@@ -27,11 +27,11 @@
         {"gateway", "drain_ms", setting_kind::integer, 0, max_ms, "5500",
          "longest time that a stop takes, stop_delay_ms included, in ms"},
         {"gateway", "answer_margin_ms", setting_kind::integer, 0, max_ms, "10",
-         "how long before its objective an incomplete gather is answered, in ms"},
+         "how long before its objective an incomplete gather is answered, in ms", true},
         {"gateway", "extra_ratio", setting_kind::decimal, 0, 1, "0.2",
-         "extra requests to a service allowed for each request, of all instances"},
+         "extra requests to a service allowed for each request, of all instances", true},
         {"gateway", "extra_slack", setting_kind::decimal, 0, max_extra, "100",
-         "extra requests to a service allowed beyond the ratio, of all instances, in a window"},
+         "extra requests to a service allowed beyond the ratio, of all instances, in a window", true},
     };
 }
 
--- a/packages/runtime/runtime_module.cpp
+++ b/packages/runtime/runtime_module.cpp
@@ -3,6 +3,7 @@
 
 #include "kernel/module_registration.h"
 #include "kernel/readiness.h"
+#include "kernel/reload.h"
 #include "kernel/state_registry.h"
 #include "runtime/route_table.h"
 #include "runtime/thread_set.h"
@@ -31,6 +32,7 @@
         context.provide(threads);
         context.provide(std::make_shared<kernel::state_registry>());
         context.provide(std::make_shared<kernel::readiness>());
+        context.provide(std::make_shared<kernel::reload_handlers>());
         context.provide(std::make_shared<caller_routes>());
         context.provide(std::make_shared<operator_routes>());
         auto module = std::make_shared<runtime_module>();
