Keep a reserve of the retry budget for requests that would fail

The budget went to parts that an answer can do without, and 105 of 613 gathers failed after 3 ms for want of three parts.

--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -123,8 +123,8 @@
             next = std::min(next, *refuse_at_);
         }
         for (const auto& part : parts_) {
-            if (part.hedge_at) {
-                next = std::min(next, *part.hedge_at);
+            if (part.overdue_at) {
+                next = std::min(next, *part.overdue_at);
             }
         }
         return next;
@@ -136,7 +136,7 @@
             return;
         }
         for (std::size_t it = 0; it < parts_.size(); ++it) {
-            if (parts_[it].hedge_at && *parts_[it].hedge_at <= now) {
+            if (parts_[it].overdue_at && *parts_[it].overdue_at <= now) {
                 hedge(it, now);
             }
         }
@@ -212,7 +212,11 @@
         }
     }
 
+    /// Sends the request to a backend server of the part that has not had it.
     send_outcome send(std::size_t index, kernel::time_point now) {
+        if (parts_[index].tried.size() >= route_.max_attempts) {
+            return send_outcome::none_left;
+        }
         return send_among(index, now, [&](const backend_entry& backend) {
             return !parts_[index].was_tried(backend.id);
         });
@@ -221,9 +225,12 @@
     /// Sends the request once more, if need be to a backend server that has had it.
     send_outcome send_again(std::size_t index, kernel::time_point now) {
         const auto outcome = send(index, now);
-        return outcome == send_outcome::none_left
-                   ? send_among(index, now, [](const backend_entry&) { return true; })
-                   : outcome;
+        if (outcome != send_outcome::none_left) {
+            return outcome;
+        }
+        return send_among(index, now, [&](const backend_entry& backend) {
+            return parts_[index].was_tried(backend.id);
+        });
     }
 
     template <std::predicate<const backend_entry&> Predicate>
@@ -235,7 +242,8 @@
         bool busy = false;
         for (std::size_t it = 0; it < part.backends->size(); ++it) {
             const auto& backend = *(*part.backends)[it];
-            if (!may_get(backend) || state_.replicas().draining(backend.id, now)) {
+            if (!may_get(backend) || part.is_unreachable(backend.id) ||
+                state_.replicas().draining(backend.id, now)) {
                 continue;
             }
             if (state_.replicas().in_flight(backend.id) >= limit) {
@@ -262,24 +270,19 @@
     void send_to(std::size_t index, const std::shared_ptr<const backend_entry>& backend,
                  kernel::time_point now) {
         auto& part = parts_[index];
-        part.tried.push_back(backend->id);
-        ++part.attempts;
+        if (!part.was_tried(backend->id)) {
+            part.tried.push_back(backend->id);
+        }
+        ++part.sends;
         ++part.under_way;
         ++summary_.attempts;
-        part.hedge_at.reset();
-        if (may_repeat(part)) {
-            part.hedge_at = now + straggling_after();
-        }
+        part.overdue_at = now + straggling_after();
         const auto number = static_cast<attempt_number>(attempts_.size());
         attempts_.push_back({index, backend, now, true});
         state_.replicas().on_sent(backend->id);
         transport_.send(number, *backend, ends_at_);
     }
 
-    [[nodiscard]] bool may_repeat(const shard_part& part) const {
-        return route_.kind == repetition::safe && part.attempts < route_.max_attempts;
-    }
-
     [[nodiscard]] kernel::duration straggling_after() {
         constexpr int objective_part = 4;
         const auto& options = state_.options();
@@ -288,29 +291,40 @@
         return std::max(delay, options.shortest_hedge_delay);
     }
 
-    /// Sends a second copy if the first straggles, there is room, and the copy can be in time.
+    /// Sends a second copy to another backend server if that can be in time.
     void hedge(std::size_t index, kernel::time_point now) {
         auto& part = parts_[index];
-        part.hedge_at.reset();
-        if (part.state != part_state::open || !may_repeat(part)) {
+        part.overdue_at.reset();
+        if (part.state != part_state::open || part.under_way == 0) {
             return;
         }
         note_overdue(index, now);
         const auto typical = state_.statistics_of(route_).typical(kernel::duration::zero());
-        if (is_gather() && coverage_suffices() && now + typical > answer_at_) {
+        const bool too_late = is_gather() && coverage_suffices() && now + typical > answer_at_;
+        if (route_.kind != repetition::safe || too_late) {
             return;
         }
-        if (!budget_of(part).available(now)) {
+        const auto unanswered = parts_.size() - count(part_state::answered);
+        if (!may_send_extra(part, unanswered, now)) {
             ++summary_.over_budget;
             return;
         }
         if (send(index, now) == send_outcome::sent) {
-            budget_of(part).try_take(now);
+            budget_of(part).try_take_reserved(now);
             ++summary_.hedges;
-            part.hedge_at.reset();
+            part.overdue_at.reset();
         }
     }
 
+    /// Whether the budget allows one more request for a part. Its reserve is for requests that fail
+    /// if `at_risk` parts stay unanswered.
+    [[nodiscard]] bool may_send_extra(const shard_part& part, std::size_t at_risk,
+                                      kernel::time_point now) {
+        const auto& budget = budget_of(part);
+        const bool fails_without = parts_.size() - at_risk < needed_parts();
+        return fails_without ? budget.available_reserved(now) : budget.available(now);
+    }
+
     void note_overdue(std::size_t index, kernel::time_point now) {
         for (const auto& attempt : attempts_) {
             if (attempt.open && attempt.part == index) {
@@ -432,7 +446,7 @@
         auto& part = parts_[attempt.part];
         if (result.end == attempt_end::replied && acceptable(result.reply)) {
             part.state = part_state::answered;
-            part.hedge_at.reset();
+            part.overdue_at.reset();
             part.reply = std::move(result.reply);
             ++summary_.covered;
             state_.quarantine().on_good(request_.fingerprint);
@@ -442,8 +456,7 @@
         const bool executed = replied ? result.reply.executed : result.end != attempt_end::not_sent;
         part.may_have_run = part.may_have_run || executed;
         if (!executed && (!replied || result.reply.misdirected)) {
-            // It never reached the backend server that was meant, so it is no attempt.
-            --part.attempts;
+            part.on_unreachable(attempt.backend->id);
         }
         if (result.end == attempt_end::lost && !symptom_noted_) {
             symptom_noted_ = true;
@@ -469,13 +482,12 @@
 
     void retry(std::size_t index, bool arrived, kernel::time_point now) {
         auto& part = parts_[index];
-        const bool allowed = part.attempts < route_.max_attempts &&
-                             (route_.kind == repetition::safe || !part.may_have_run);
-        if (!allowed) {
+        if (!may_retry(part)) {
             part.state = part_state::failed;
             return;
         }
-        if (arrived && !budget_of(part).available(now)) {
+        const auto failed = count(part_state::failed) + 1;
+        if (arrived && !may_send_extra(part, failed, now)) {
             ++summary_.over_budget;
             part.state = part_state::failed;
             return;
@@ -484,7 +496,7 @@
             case send_outcome::sent:
                 ++summary_.retries;
                 if (arrived) {
-                    budget_of(part).try_take(now);
+                    budget_of(part).try_take_reserved(now);
                 }
                 return;
             case send_outcome::all_busy:
@@ -496,6 +508,26 @@
         }
     }
 
+    [[nodiscard]] bool may_retry(const shard_part& part) const {
+        // A backend server that is full may refuse a request several times.
+        constexpr std::uint32_t sends_per_attempt = 2;
+        return part.sends < route_.max_attempts * sends_per_attempt &&
+               (route_.kind == repetition::safe || !part.may_have_run);
+    }
+
+    /// Tries parts again that were given up for want of budget, until enough are open.
+    void revive(kernel::time_point now) {
+        for (std::size_t it = 0; it < parts_.size(); ++it) {
+            if (parts_.size() - count(part_state::failed) >= needed_parts()) {
+                return;
+            }
+            if (parts_[it].state == part_state::failed && parts_[it].under_way == 0) {
+                parts_[it].state = part_state::open;
+                retry(it, true, now);
+            }
+        }
+    }
+
     // Answering
 
     [[nodiscard]] std::size_t count(part_state state) const {
@@ -521,6 +553,9 @@
             return;
         }
         past_answer_time_ = past_answer_time_ || now >= answer_at_;
+        if (is_gather() && parts_.size() - count(part_state::failed) < needed_parts()) {
+            revive(now);
+        }
         const auto covered = count(part_state::answered);
         const auto lost = count(part_state::failed);
         const bool settled = covered + lost == parts_.size();
--- a/packages/gateway/session_options.h
+++ b/packages/gateway/session_options.h
@@ -18,12 +18,17 @@
     double hedge_quantile = 0.93;
     kernel::duration shortest_hedge_delay = std::chrono::milliseconds{4};
     /// Extra requests per request for a service, below the 0.2 that the platform allows.
-    double extra_ratio = 0.16;
+    double extra_ratio = 0.18;
     /// Extra requests in one window that the platform allows beyond the ratio, for all instances.
     double extra_slack = 100;
     /// Part of the slack that the instances divide among themselves; the rest is kept for instances
     /// that do not know of each other yet.
-    double extra_slack_used = 0.7;
+    double extra_slack_used = 0.75;
+    /// Part of an instance's share of the slack that it may use right after its start. All instances
+    /// may restart within one window, and then both shares count.
+    double initial_tokens = 0.25;
+    /// Part of an instance's share of the slack that is kept for requests which would else fail.
+    double reserved_part = 0.4;
     /// Part of a backend server's connections that the instances divide among themselves.
     double connections_used = 0.9;
     /// Most connections of one instance to one backend server.
--- a/packages/gateway/shard_part.h
+++ b/packages/gateway/shard_part.h
@@ -17,23 +17,43 @@
 
 /// One service that a request needs a reply of, and what has been tried for it. Belongs to one
 /// request_session.
-struct shard_part {
+class shard_part {
+public:
     model::service_id service;
     /// In the fleet view that the session holds. Never null.
     const backend_list* backends = nullptr;
     part_state state = part_state::open;
     /// Backend servers that have got the request.
     std::vector<model::server_id> tried;
-    std::uint32_t attempts = 0;
+    /// Backend servers that cannot get it, because they are not reached or are others than expected.
+    std::vector<model::server_id> unreachable;
+    /// Times that the request was sent.
+    std::uint32_t sends = 0;
     std::uint32_t under_way = 0;
     /// Whether a backend server may have run the request.
     bool may_have_run = false;
-    std::optional<kernel::time_point> hedge_at;
+    /// When the attempts under way count as straggling.
+    std::optional<kernel::time_point> overdue_at;
     std::optional<wait_list<traffic_state::waiter>::ticket> ticket;
     std::optional<backend_reply> reply;
 
     [[nodiscard]] bool was_tried(const model::server_id& server) const {
-        return std::find(tried.begin(), tried.end(), server) != tried.end();
+        return contains(tried, server);
+    }
+    [[nodiscard]] bool is_unreachable(const model::server_id& server) const {
+        return contains(unreachable, server);
+    }
+
+    /// Takes the notice that an attempt did not reach `server`.
+    void on_unreachable(const model::server_id& server) {
+        std::erase(tried, server);
+        unreachable.push_back(server);
+    }
+
+private:
+    static bool contains(const std::vector<model::server_id>& list,
+                         const model::server_id& server) {
+        return std::find(list.begin(), list.end(), server) != list.end();
     }
 };
 
--- a/packages/gateway/traffic_state.h
+++ b/packages/gateway/traffic_state.h
@@ -52,7 +52,7 @@
         if (it == budgets_.end()) {
             return budgets_.emplace(service, new_budget(burst)).first->second;
         }
-        it->second.limit_burst(burst);
+        it->second.limit_burst(burst, burst * options_.reserved_part);
         return it->second;
     }
 
@@ -90,6 +90,8 @@
         options.steady_ratio = options_.extra_ratio;
         options.fault_ratio = options_.extra_ratio;
         options.burst = burst;
+        options.initial_part = options_.initial_tokens;
+        options.reserve = burst * options_.reserved_part;
         return retry::retry_budget{options};
     }
 
--- a/packages/proxy/internal/gateway_settings.cpp
+++ b/packages/proxy/internal/gateway_settings.cpp
@@ -38,7 +38,7 @@
 gateway::session_options session_options_from(const kernel::settings& settings) {
     // The ratio is kept below what is allowed, because the windows in which the backend servers'
     // owners count begin at any time.
-    constexpr double ratio_used = 0.8;
+    constexpr double ratio_used = 0.9;
     gateway::session_options options;
     options.answer_margin = ms(settings, "answer_margin_ms");
     options.extra_ratio = ratio_used * settings.decimal("gateway", "extra_ratio");
--- a/packages/retry/retry_budget.h
+++ b/packages/retry/retry_budget.h
@@ -13,8 +13,11 @@
     double fault_ratio = 0.10;
     /// How long after a failure the fault ratio applies.
     kernel::duration fault_window = std::chrono::seconds{5};
-    /// Most tokens that can be saved up; the budget starts with these.
+    /// Most tokens that can be saved up.
     double burst = 10;
+    /// Part of the burst that the budget starts with. An instance that restarts may have spent a
+    /// whole burst just before.
+    double initial_part = 1;
     /// Tokens that only replacements of lost requests may take.
     double reserve = 0;
     /// Without traffic one token returns per interval, up to a single one, so that the query of a
@@ -27,11 +30,12 @@
 class retry_budget {
 public:
     explicit retry_budget(retry_budget_options options = {})
-        : options_(options), tokens_(options.burst) {}
+        : options_(options), tokens_(options.burst * options.initial_part) {}
 
-    /// Changes the most tokens that can be saved up.
-    void limit_burst(double burst) {
+    /// Changes the most tokens that can be saved up, and the reserve.
+    void limit_burst(double burst, double reserve) {
         options_.burst = burst;
+        options_.reserve = reserve;
         tokens_ = std::min(tokens_, burst);
     }
 
@@ -49,6 +53,11 @@
         return has_tokens(1 + options_.reserve, now);
     }
 
+    /// Whether try_take_reserved() would succeed.
+    [[nodiscard]] bool available_reserved(kernel::time_point now) const {
+        return has_tokens(1, now);
+    }
+
     /// Takes a token for one extra request. False if there is none above the reserve.
     bool try_take(kernel::time_point now) { return take_if_above(options_.reserve, now); }
 
