--- a/packages/gateway/session_options.h
+++ b/packages/gateway/session_options.h
@@ -23,12 +23,12 @@
     double extra_slack = 100;
     /// Part of the slack that the instances divide among themselves; the rest is kept for instances
     /// that do not know of each other yet.
-    double extra_slack_used = 0.75;
+    double extra_slack_used = 0.7;
     /// Part of an instance's share of the slack that it may use right after its start. All instances
     /// may restart within one window, and then both shares count.
-    double initial_tokens = 0.25;
+    double initial_tokens = 0.4;
     /// Part of an instance's share of the slack that is kept for requests which would else fail.
-    double reserved_part = 0.4;
+    double reserved_part = 0.2;
     /// Part of a backend server's connections that the instances divide among themselves.
     double connections_used = 0.9;
     /// Most connections of one instance to one backend server.
