--- a/packages/gateway/session_options.h
+++ b/packages/gateway/session_options.h
@@ -34,7 +34,7 @@
     /// Most connections of one instance to one backend server.
     std::uint32_t max_connections_per_backend = 4;
     /// Cost of a backend server in another data centre, relative to a near one.
-    double remote_cost = 1.25;
+    double remote_cost = 2;
     /// Cost of a backend server that has just started, relative to a warm one.
     double cold_cost = 1.6;
     /// After the client has left, work that ends within this time is not broken off, since closing
