Send refused parts of a gather again all at once or not at all

Cause: in a wave of refusals gathers that cannot reach their least coverage spent the budget of those that could.

--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -122,6 +122,9 @@
         if (refuse_at_) {
             next = std::min(next, *refuse_at_);
         }
+        if (settle_at_) {
+            next = std::min(next, *settle_at_);
+        }
         for (const auto& part : parts_) {
             if (part.overdue_at) {
                 next = std::min(next, *part.overdue_at);
@@ -465,9 +468,15 @@
         if (replied && executed) {
             part.reply = std::move(result.reply);
         }
-        if (part.under_way == 0) {
-            retry(attempt.part, executed || replied, now);
+        if (part.under_way > 0) {
+            return;
         }
+        if (is_gather() && replied && !executed && !result.reply.misdirected) {
+            part.state = may_retry(part) ? part_state::refused : part_state::failed;
+            settle_at_ = settle_at_ ? settle_at_ : now + state_.options().settle_delay;
+            return;
+        }
+        retry(attempt.part, executed || replied, now);
     }
 
     /// Whether a reply settles its part. A failure that a backend server reports is passed on only
@@ -486,26 +495,17 @@
             part.state = part_state::failed;
             return;
         }
-        const auto failed = count(part_state::failed) + 1;
-        if (arrived && !may_send_extra(part, failed, now)) {
+        if (arrived && !may_send_extra(part, lost_parts() + 1, now)) {
             ++summary_.over_budget;
             part.state = part_state::failed;
             return;
         }
-        switch (arrived ? send_again(index, now) : send(index, now)) {
-            case send_outcome::sent:
-                ++summary_.retries;
-                if (arrived) {
-                    budget_of(part).try_take_reserved(now);
-                }
-                return;
-            case send_outcome::all_busy:
-                wait(index, now);
-                return;
-            case send_outcome::none_left:
-                part.state = part_state::failed;
-                return;
+        if (arrived) {
+            resend(index, now);
+            return;
         }
+        send_first(index, now);
+        summary_.retries += part.state == part_state::open ? 1 : 0;
     }
 
     [[nodiscard]] bool may_retry(const shard_part& part) const {
@@ -515,16 +515,50 @@
                (route_.kind == repetition::safe || !part.may_have_run);
     }
 
-    /// Tries parts again that were given up for want of budget, until enough are open.
-    void revive(kernel::time_point now) {
+    /// Sends refused parts again: as many as the request needs, if the budgets allow all of these,
+    /// and further ones whose budgets are well filled.
+    void settle(kernel::time_point now) {
+        settle_at_.reset();
+        const auto spare = parts_.size() - needed_parts();
+        const auto needed = lost_parts() > spare ? lost_parts() - spare : 0;
+        std::vector<std::size_t> affordable;
         for (std::size_t it = 0; it < parts_.size(); ++it) {
-            if (parts_.size() - count(part_state::failed) >= needed_parts()) {
-                return;
+            if (parts_[it].state == part_state::refused &&
+                budget_of(parts_[it]).available_reserved(now)) {
+                affordable.push_back(it);
             }
-            if (parts_[it].state == part_state::failed && parts_[it].under_way == 0) {
-                parts_[it].state = part_state::open;
-                retry(it, true, now);
+        }
+        if (affordable.size() < needed) {
+            summary_.over_budget += static_cast<std::uint32_t>(needed - affordable.size());
+            return;
+        }
+        std::sort(affordable.begin(), affordable.end(), [&](auto a, auto b) {
+            return budget_of(parts_[a]).tokens() > budget_of(parts_[b]).tokens();
+        });
+        std::size_t sent = 0;
+        for (const auto it : affordable) {
+            if (sent >= needed && !budget_of(parts_[it]).filled(state_.options().plenty)) {
+                return;
             }
+            parts_[it].state = part_state::open;
+            resend(it, now);
+            ++sent;
+        }
+    }
+
+    void resend(std::size_t index, kernel::time_point now) {
+        auto& part = parts_[index];
+        switch (send_again(index, now)) {
+            case send_outcome::sent:
+                ++summary_.retries;
+                budget_of(part).try_take_reserved(now);
+                return;
+            case send_outcome::all_busy:
+                wait(index, now);
+                return;
+            case send_outcome::none_left:
+                part.state = part_state::failed;
+                return;
         }
     }
 
@@ -535,6 +569,10 @@
             parts_.begin(), parts_.end(), [&](const auto& it) { return it.state == state; }));
     }
 
+    [[nodiscard]] std::size_t lost_parts() const {
+        return count(part_state::failed) + count(part_state::refused);
+    }
+
     [[nodiscard]] std::size_t needed_parts() const {
         const auto* gather = plan();
         const double least = gather == nullptr ? 1 : gather->least_coverage;
@@ -553,18 +591,18 @@
             return;
         }
         past_answer_time_ = past_answer_time_ || now >= answer_at_;
-        if (is_gather() && parts_.size() - count(part_state::failed) < needed_parts()) {
-            revive(now);
+        if (settle_at_ && now >= *settle_at_) {
+            settle(now);
         }
         const auto covered = count(part_state::answered);
-        const auto lost = count(part_state::failed);
+        const auto lost = lost_parts();
         const bool settled = covered + lost == parts_.size();
         const bool enough = covered >= needed_parts();
-        if (enough && (settled || (is_gather() && past_answer_time_))) {
+        if (enough && ((settled && !settle_at_) || (is_gather() && past_answer_time_))) {
             succeed();
             return;
         }
-        if (parts_.size() - lost < needed_parts()) {
+        if (parts_.size() - lost < needed_parts() && !settle_at_) {
             fail();
             return;
         }
@@ -690,6 +728,7 @@
     kernel::time_point ends_at_;
     kernel::time_point answer_at_;
     std::optional<kernel::time_point> refuse_at_;
+    std::optional<kernel::time_point> settle_at_;
     std::optional<kernel::time_point> abandon_at_;
     bool past_answer_time_ = false;
     bool symptom_noted_ = false;
--- a/packages/gateway/session_options.h
+++ b/packages/gateway/session_options.h
@@ -29,6 +29,12 @@
     double initial_tokens = 0.4;
     /// Part of an instance's share of the slack that is kept for requests which would else fail.
     double reserved_part = 0.2;
+    /// How long a gather collects refusals before it decides which parts are sent again. Refusals
+    /// come within a few ms; a gather that cannot succeed then leaves the budget to others.
+    kernel::duration settle_delay = std::chrono::milliseconds{6};
+    /// Part of the largest saving from which a budget also pays for parts that an answer can do
+    /// without.
+    double plenty = 0.5;
     /// Part of a backend server's connections that the instances divide among themselves.
     double connections_used = 0.9;
     /// Most connections of one instance to one backend server.
--- a/packages/gateway/shard_part.h
+++ b/packages/gateway/shard_part.h
@@ -13,7 +13,13 @@
 
 namespace poplarfront::gateway {
 
-enum class part_state { open, answered, failed };
+enum class part_state {
+    open,
+    answered,
+    /// The last backend server refused it for want of room, and it may be sent again.
+    refused,
+    failed,
+};
 
 /// One service that a request needs a reply of, and what has been tried for it. Belongs to one
 /// request_session.
--- a/packages/retry/retry_budget.h
+++ b/packages/retry/retry_budget.h
@@ -70,6 +70,9 @@
 
     [[nodiscard]] double tokens() const { return tokens_; }
 
+    /// Whether at least a `part` of the burst is saved up.
+    [[nodiscard]] bool filled(double part) const { return tokens_ >= part * options_.burst; }
+
 private:
     [[nodiscard]] bool has_tokens(double needed, kernel::time_point now) const {
         // Sums of 0.05 fall short of 1 by rounding.
