Hold requests for up to 150 ms until the configuration is read

Cause: after a restart of all instances clients were refused in the 40 ms before the configuration was read. Kept for the clients' sake.

--- a/packages/proxy/client_connection.h
+++ b/packages/proxy/client_connection.h
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/fiber/operations.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -181,7 +182,7 @@
         continued_ = false;
         const auto began = received.request.received;
         const auto id = received.request.id;
-        const auto view = shared_->view->read();
+        const auto view = wait_for_configuration();
         if (view->configuration == nullptr) {
             return refuse(id, unavailable, "no configuration is known yet", keep_alive);
         }
@@ -202,6 +203,20 @@
         return kept;
     }
 
+    /// The view, after a short wait if there is no configuration yet: an instance that starts reads
+    /// it within some ms, while the client would come back much later.
+    std::shared_ptr<const gateway::fleet_view> wait_for_configuration() {
+        constexpr auto longest = std::chrono::milliseconds{150};
+        constexpr auto interval = std::chrono::milliseconds{5};
+        const auto until = now() + longest;
+        auto view = shared_->view->read();
+        while (view->configuration == nullptr && now() < until) {
+            boost::this_fiber::sleep_for(interval);
+            view = shared_->view->read();
+        }
+        return view;
+    }
+
     bool serve_request(proxied_request<Protocol>& request, kernel::time_point began,
                        bool keep_alive) {
         request.start();
