Test the gateway's decisions, and count refusals apart from attempts

Cause: a request lost twice was sent a third time, because refusals and losses shared one limit. The test that counts backend servers failed before.

--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -458,6 +458,7 @@
         const bool replied = result.end == attempt_end::replied;
         const bool executed = replied ? result.reply.executed : result.end != attempt_end::not_sent;
         part.may_have_run = part.may_have_run || executed;
+        part.not_run += executed ? 0 : 1;
         if (!executed && (!replied || result.reply.misdirected)) {
             part.on_unreachable(attempt.backend->id);
         }
@@ -509,9 +510,10 @@
     }
 
     [[nodiscard]] bool may_retry(const shard_part& part) const {
-        // A backend server that is full may refuse a request several times.
+        // Refusals are no attempts, but a service that is full is not asked without end.
         constexpr std::uint32_t sends_per_attempt = 2;
-        return part.sends < route_.max_attempts * sends_per_attempt &&
+        return part.sends - part.not_run < route_.max_attempts &&
+               part.sends < route_.max_attempts * sends_per_attempt &&
                (route_.kind == repetition::safe || !part.may_have_run);
     }
 
--- a/packages/gateway/shard_part.h
+++ b/packages/gateway/shard_part.h
@@ -33,8 +33,9 @@
     std::vector<model::server_id> tried;
     /// Backend servers that cannot get it, because they are not reached or are others than expected.
     std::vector<model::server_id> unreachable;
-    /// Times that the request was sent.
+    /// Times that the request was sent, and how many of these were refused or did not arrive.
     std::uint32_t sends = 0;
+    std::uint32_t not_run = 0;
     std::uint32_t under_way = 0;
     /// Whether a backend server may have run the request.
     bool may_have_run = false;
--- /dev/null
+++ b/packages/gateway/tests/request_session_test.cpp
@@ -0,0 +1,401 @@
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "fixture.h"
+
+namespace poplarfront::gateway {
+namespace {
+
+std::string record(char letter) {
+    return std::string(record_bytes, letter);
+}
+
+TEST_CASE("a gather is answered when all shards have replied, greatest records first") {
+    const fleet fleet{4};
+    running_session run{fleet, fleet.gather};
+    REQUIRE(run.transport.sent.size() == 4);
+    run.end(0, success("a", record('a') + record('z')), milliseconds{5});
+    run.end(1, success("b", record('b')), milliseconds{6});
+    run.end(2, success("c"), milliseconds{7});
+    REQUIRE(run.transport.answers.empty());
+    run.end(3, success("d", record('y')), milliseconds{8});
+    REQUIRE(run.transport.answers.size() == 1);
+    const auto& answer = run.transport.answers.front();
+    CHECK(answer.kind == answer_kind::gathered);
+    CHECK(answer.missing == 0);
+    CHECK(answer.signatures == std::vector<std::string>{"a", "b", "c", "d"});
+    CHECK(answer.records == record('z') + record('y') + record('b') + record('a'));
+}
+
+TEST_CASE("a gather with a straggler is answered just before its objective and says what is missing") {
+    const fleet fleet{4, 1};
+    running_session run{fleet, fleet.gather};
+    for (std::size_t it = 0; it < 3; ++it) {
+        run.end(it, success("part" + std::to_string(it)), milliseconds{10});
+    }
+    run.run_timers(milliseconds{89});
+    CHECK(run.transport.answers.empty());
+    run.run_timers(milliseconds{100});
+    REQUIRE(run.transport.answers.size() == 1);
+    CHECK(run.transport.answers.front().kind == answer_kind::gathered);
+    CHECK(run.transport.answers.front().missing == 1);
+    CHECK(run.transport.answers.front().signatures.size() == 3);
+}
+
+TEST_CASE("a gather below its least coverage is not answered with success") {
+    const fleet fleet{4, 1};
+    running_session run{fleet, fleet.gather};
+    run.end(0, success("a"), milliseconds{10});
+    run.end(1, success("b"), milliseconds{10});
+    run.run_timers(milliseconds{590});
+    CHECK(run.transport.answers.empty());
+    run.run_timers(milliseconds{600});
+    REQUIRE(run.transport.answers.size() == 1);
+    CHECK(run.transport.answers.front().kind == answer_kind::timed_out);
+}
+
+TEST_CASE("a gather past its objective is answered as soon as the least coverage is in") {
+    const fleet fleet{4, 1};
+    running_session run{fleet, fleet.gather};
+    run.end(0, success("a"), milliseconds{10});
+    run.end(1, success("b"), milliseconds{10});
+    run.run_timers(milliseconds{200});
+    run.end(2, success("c"), milliseconds{200});
+    REQUIRE(run.transport.answers.size() == 1);
+    CHECK(run.transport.answers.front().missing == 1);
+}
+
+TEST_CASE("the objective counts from the client's first attempt") {
+    const fleet fleet{4, 1};
+    traffic_state state{test_options(), 1};
+    fake_transport transport;
+    const auto view = fleet.published();
+    // An earlier request shows how long a client waits at first.
+    session first{state, transport, view, fleet.gather, request(milliseconds{600})};
+    first.start(start_time);
+    fake_transport second_transport;
+    session second{state, second_transport, view, fleet.gather, request(milliseconds{560})};
+    second.start(start_time);
+    for (attempt_number it = 0; it < 3; ++it) {
+        second.on_result(it, success("part" + std::to_string(it)), start_time + milliseconds{10});
+    }
+    // 40 of 100 ms are spent before, and the margin is 10 ms.
+    second.on_timer(start_time + milliseconds{49});
+    CHECK(second_transport.answers.empty());
+    second.on_timer(start_time + milliseconds{50});
+    CHECK(second_transport.answers.size() == 1);
+}
+
+TEST_CASE("a straggling part is sent to the other replica, and the first reply counts") {
+    const fleet fleet{4};
+    running_session run{fleet, fleet.gather};
+    for (std::size_t it = 0; it < 3; ++it) {
+        run.end(it, success("part" + std::to_string(it)), milliseconds{10});
+    }
+    run.run_timers(milliseconds{40});
+    REQUIRE(run.transport.sent.size() == 5);
+    CHECK(run.transport.sent[4].service == run.transport.sent[3].service);
+    CHECK(run.transport.sent[4].server != run.transport.sent[3].server);
+    run.end(4, success("hedge"), milliseconds{50});
+    REQUIRE(run.transport.answers.size() == 1);
+    CHECK(run.transport.answers.front().missing == 0);
+    // The late reply of the first attempt belongs to nobody.
+    run.end(3, success("late"), milliseconds{60});
+    CHECK(run.transport.answers.size() == 1);
+}
+
+TEST_CASE("no part is sent to more backend servers than the route allows") {
+    const fleet fleet{1, 5};
+    running_session run{fleet, fleet.single};
+    run.end(0, ended(attempt_end::lost), milliseconds{1});
+    REQUIRE(run.transport.sent.size() == 2);
+    run.end(1, ended(attempt_end::lost), milliseconds{2});
+    run.run_timers(milliseconds{600});
+    std::set<std::string> servers;
+    for (const auto& it : run.transport.sent) {
+        servers.insert(it.server);
+    }
+    CHECK(servers.size() <= 2);
+    REQUIRE(run.transport.answers.size() == 1);
+    CHECK(run.transport.answers.front().kind == answer_kind::failed);
+}
+
+route at_most_once(route it) {
+    it.kind = repetition::at_most_once;
+    return it;
+}
+
+TEST_CASE("a request that may run only once is not sent again after it may have run") {
+    const fleet fleet{1, 3};
+    for (const auto end :
+         {attempt_end::lost, attempt_end::timed_out}) {
+        running_session run{fleet, at_most_once(fleet.single)};
+        run.run_timers(milliseconds{500});
+        run.end(0, ended(end), milliseconds{510});
+        run.run_timers(milliseconds{600});
+        CHECK(run.transport.sent.size() == 1);
+        REQUIRE(run.transport.answers.size() == 1);
+        CHECK(run.transport.answers.front().kind == answer_kind::failed);
+    }
+}
+
+TEST_CASE("a request that may run only once is sent again after a refusal or an unsent attempt") {
+    const fleet fleet{1, 3};
+    for (const auto& first : {status(503, false), ended(attempt_end::not_sent), status(421, false)}) {
+        running_session run{fleet, at_most_once(fleet.single)};
+        run.end(0, first, milliseconds{1});
+        REQUIRE(run.transport.sent.size() == 2);
+        run.end(1, success("once"), milliseconds{20});
+        REQUIRE(run.transport.answers.size() == 1);
+        CHECK(run.transport.answers.front().reply.signature == "once");
+    }
+}
+
+TEST_CASE("an answer that says not run is given only if nothing can have run") {
+    const fleet fleet{1, 2};
+    SECTION("all backend servers refused") {
+        running_session run{fleet, at_most_once(fleet.single)};
+        for (std::size_t it = 0; it < run.transport.sent.size(); ++it) {
+            run.end(it, status(503, false), milliseconds{1});
+        }
+        REQUIRE(run.transport.answers.size() == 1);
+        CHECK(run.transport.answers.front().kind == answer_kind::not_run);
+        CHECK(run.transport.answers.front().retry_after > kernel::duration::zero());
+    }
+    SECTION("a backend server may still be at work at the end") {
+        running_session run{fleet, at_most_once(fleet.single)};
+        run.run_timers(milliseconds{600});
+        REQUIRE(run.transport.answers.size() == 1);
+        CHECK(run.transport.answers.front().kind == answer_kind::timed_out);
+    }
+    SECTION("a backend server that ran the request answers 503") {
+        auto ran = status(503, true);
+        ran.reply.reads_as_not_run = true;
+        running_session run{fleet, at_most_once(fleet.single)};
+        run.end(0, ran, milliseconds{1});
+        REQUIRE(run.transport.answers.size() == 1);
+        CHECK(run.transport.answers.front().kind == answer_kind::failed);
+    }
+}
+
+TEST_CASE("a service without backend servers is refused at once instead of at the deadline") {
+    fleet fleet{1};
+    fleet.view.backends.clear();
+    running_session run{fleet, fleet.single};
+    REQUIRE(run.transport.answers.size() == 1);
+    CHECK(run.transport.answers.front().kind == answer_kind::not_run);
+}
+
+TEST_CASE("a failure status of a backend server is passed on when nothing else can be tried") {
+    const fleet fleet{1, 2};
+    running_session run{fleet, fleet.single};
+    run.end(0, status(500, true), milliseconds{1});
+    run.end(1, status(500, true), milliseconds{2});
+    REQUIRE(run.transport.answers.size() == 1);
+    CHECK(run.transport.answers.front().kind == answer_kind::passed_on);
+    CHECK(run.transport.answers.front().reply.status == 500);
+}
+
+TEST_CASE("a failure of a backend server is not a part of a gather") {
+    const fleet fleet{4, 1};
+    running_session run{fleet, fleet.gather};
+    run.end(0, status(500, true), milliseconds{1});
+    for (std::size_t it = 1; it < 4; ++it) {
+        run.end(it, success("part" + std::to_string(it)), milliseconds{10});
+    }
+    run.run_timers(milliseconds{100});
+    REQUIRE(run.transport.answers.size() == 1);
+    CHECK(run.transport.answers.front().signatures ==
+          std::vector<std::string>{"part1", "part2", "part3"});
+}
+
+TEST_CASE("a backend server that is another than expected gets no further requests") {
+    const fleet fleet{1, 2};
+    running_session run{fleet, fleet.single};
+    auto other = status(421, false);
+    other.reply.misdirected = true;
+    const auto server = run.transport.sent[0].server;
+    run.end(0, other, milliseconds{1});
+    REQUIRE(run.transport.sent.size() == 2);
+    CHECK(run.transport.sent[1].server != server);
+    CHECK(run.state.replicas().draining(model::server_id::trusted(server),
+                                        start_time + milliseconds{2}));
+}
+
+TEST_CASE("attempts are broken off only a while after the client has left") {
+    const fleet fleet{1, 2};
+    running_session run{fleet, fleet.single};
+    run.session.on_client_gone(start_time + milliseconds{10});
+    run.run_timers(milliseconds{250});
+    CHECK(run.transport.cancelled.empty());
+    run.run_timers(milliseconds{270});
+    CHECK(run.transport.cancelled.size() == run.transport.sent.size());
+    CHECK(run.transport.answers.empty());
+}
+
+TEST_CASE("work that may not be repeated goes on after the client has left") {
+    const fleet fleet{1, 2};
+    running_session run{fleet, at_most_once(fleet.single)};
+    run.session.on_client_gone(start_time + milliseconds{10});
+    run.run_timers(milliseconds{5000});
+    CHECK(run.transport.cancelled.empty());
+}
+
+TEST_CASE("a near backend server is preferred while it is not much slower than a far one") {
+    fleet fleet{1, 0};
+    fleet.view.backends[service("s0")] = {backend("far", "s0", "elsewhere"),
+                                          backend("near", "s0", "near")};
+    running_session run{fleet, fleet.single};
+    CHECK(run.transport.sent.front().server == "near");
+}
+
+TEST_CASE("with all connections in use a request waits, the most urgent first") {
+    fleet fleet{1, 1};
+    fleet.configuration.services[service("s0")] = service_options{1};
+    fleet.single.objective = milliseconds{1000};
+    traffic_state state{test_options(), 1};
+    const auto view = fleet.published();
+    fake_transport transports[3];
+    auto urgent = fleet.single;
+    urgent.priority = 0;
+    auto patient = fleet.single;
+    patient.priority = 5;
+    session running{state, transports[0], view, patient, request()};
+    session waiting{state, transports[1], view, patient, request()};
+    session urgent_waiting{state, transports[2], view, urgent, request()};
+    running.start(start_time);
+    waiting.start(start_time);
+    urgent_waiting.start(start_time);
+    REQUIRE(transports[0].sent.size() == 1);
+    CHECK(transports[1].sent.empty());
+    CHECK(transports[2].sent.empty());
+    running.on_result(0, success("done"), start_time + milliseconds{10});
+    CHECK(transports[1].sent.empty());
+    CHECK(transports[2].sent.size() == 1);
+    urgent_waiting.on_result(0, success("done"), start_time + milliseconds{20});
+    CHECK(transports[1].sent.size() == 1);
+}
+
+TEST_CASE("a request that waits too long for a connection is refused, since another instance may have one") {
+    fleet fleet{1, 1};
+    fleet.configuration.services[service("s0")] = service_options{1};
+    traffic_state state{test_options(), 1};
+    const auto view = fleet.published();
+    fake_transport busy_transport;
+    fake_transport transport;
+    session busy{state, busy_transport, view, fleet.single, request()};
+    session waiting{state, transport, view, fleet.single, request()};
+    busy.start(start_time);
+    waiting.start(start_time);
+    CHECK(transport.answers.empty());
+    waiting.on_timer(start_time + milliseconds{25});
+    REQUIRE(transport.answers.size() == 1);
+    CHECK(transport.answers.front().kind == answer_kind::not_run);
+}
+
+TEST_CASE("a request that has crashed backend servers several times is not sent any more") {
+    const fleet fleet{1, 8};
+    traffic_state state{test_options(), 1};
+    const auto view = fleet.published();
+    std::size_t sent = 0;
+    for (int repetition = 0; repetition < 6; ++repetition) {
+        fake_transport transport;
+        session run{state, transport, view, fleet.single, request()};
+        run.start(start_time);
+        for (std::size_t it = 0; it < transport.sent.size(); ++it) {
+            run.on_result(transport.sent[it].attempt, ended(attempt_end::lost), start_time);
+        }
+        sent += transport.sent.size();
+        REQUIRE(transport.answers.size() == 1);
+    }
+    CHECK(sent <= 6);
+}
+
+TEST_CASE("extra requests stay within the ratio and this instance's share of the slack") {
+    fleet fleet{1, 2};
+    fleet.view.instances = 10;
+    auto options = test_options();
+    options.extra_ratio = 0.1;
+    options.extra_slack = 100;
+    traffic_state state{options, 1};
+    const auto view = fleet.published();
+    constexpr int requests = 500;
+    std::size_t sent = 0;
+    for (int it = 0; it < requests; ++it) {
+        fake_transport transport;
+        auto made = request();
+        made.fingerprint = static_cast<std::uint64_t>(it);
+        session run{state, transport, view, fleet.single, made};
+        run.start(start_time);
+        for (std::size_t n = 0; n < transport.sent.size(); ++n) {
+            run.on_result(transport.sent[n].attempt, status(500, true), start_time);
+        }
+        sent += transport.sent.size();
+    }
+    CHECK(sent > requests);
+    CHECK(static_cast<double>(sent - requests) <= 0.1 * requests + 100.0 / 10);
+}
+
+TEST_CASE("a gather that cannot reach its coverage leaves the budget to others") {
+    fleet fleet{20, 1};
+    auto options = test_options();
+    options.extra_ratio = 0;
+    options.extra_slack = 0;
+    running_session run{fleet, fleet.gather, request(), options};
+    // Without any budget the refusals of 6 of 20 shards cannot be made good.
+    for (std::size_t it = 0; it < 6; ++it) {
+        run.end(it, status(503, false), milliseconds{1});
+    }
+    CHECK(run.transport.answers.empty());
+    run.run_timers(milliseconds{8});
+    CHECK(run.transport.sent.size() == 20);
+    REQUIRE(run.transport.answers.size() == 1);
+    CHECK(run.transport.answers.front().kind == answer_kind::failed);
+}
+
+TEST_CASE("refused parts of a gather are sent again, also to the backend server that refused") {
+    const fleet fleet{4, 1};
+    running_session run{fleet, fleet.gather};
+    for (std::size_t it = 0; it < 4; ++it) {
+        run.end(it, status(503, false), milliseconds{1});
+    }
+    run.run_timers(milliseconds{8});
+    REQUIRE(run.transport.sent.size() >= 7);
+    for (std::size_t it = 4; it < run.transport.sent.size(); ++it) {
+        run.end(it, success("part" + std::to_string(it)), milliseconds{20});
+    }
+    run.run_timers(milliseconds{100});
+    REQUIRE(run.transport.answers.size() == 1);
+    CHECK(run.transport.answers.front().kind == answer_kind::gathered);
+}
+
+TEST_CASE("requests of a split go to its services in proportion to the weights") {
+    fleet fleet{2, 1};
+    fleet.configuration.services[service("s0")] = service_options{1'000'000};
+    auto split = fleet.single;
+    split.target = weighted_split{{{service("s0"), 3}, {service("s1"), 1}}};
+    traffic_state state{test_options(), 1};
+    const auto view = fleet.published();
+    int first = 0;
+    constexpr int requests = 4000;
+    for (int it = 0; it < requests; ++it) {
+        fake_transport transport;
+        session run{state, transport, view, split, request()};
+        run.start(start_time);
+        REQUIRE(transport.sent.size() == 1);
+        first += transport.sent[0].service == "s0" ? 1 : 0;
+        run.on_result(0, success("done"), start_time);
+    }
+    CHECK(first == Approx(0.75 * requests).margin(0.03 * requests));
+}
+
+TEST_CASE("a backend server stops work at the end of the client's patience or of the route's time") {
+    const fleet fleet{1, 1};
+    CHECK(running_session(fleet, fleet.single, request(milliseconds{200})).transport.sent[0].until <=
+          start_time + milliseconds{200});
+    CHECK(running_session(fleet, fleet.single, request(milliseconds{5000})).transport.sent[0].until <=
+          start_time + milliseconds{600});
+}
+
+}  // namespace
+}  // namespace poplarfront::gateway
--- /dev/null
+++ b/packages/gateway/tests/values_test.cpp
@@ -0,0 +1,67 @@
+#include <catch2/catch.hpp>
+
+#include "fixture.h"
+#include "gateway/greatest_records.h"
+#include "gateway/weighted_choice.h"
+
+namespace poplarfront::gateway {
+namespace {
+
+std::string record(char letter) {
+    return std::string(record_bytes, letter);
+}
+
+TEST_CASE("equal records of several parts all count") {
+    const auto a = record('b') + record('a');
+    const auto b = record('b');
+    CHECK(greatest_records({a, b}, 3) == record('b') + record('b') + record('a'));
+}
+
+TEST_CASE("records are compared as unsigned bytes") {
+    const auto high = std::string(record_bytes, '\xff');
+    CHECK(greatest_records({record('a'), high}, 1) == high);
+}
+
+TEST_CASE("a rest shorter than a record is left out") {
+    CHECK(greatest_records({record('a') + "zzz", "zz"}, 5) == record('a'));
+    CHECK(greatest_records({}, 5).empty());
+    CHECK(greatest_records({record('a')}, 0).empty());
+}
+
+TEST_CASE("a part without weight gets no requests, also at the ends of the range") {
+    const weighted_split split{{{service("none"), 0}, {service("all"), 2}}};
+    CHECK(choose_weighted(split, 0) == service("all"));
+    CHECK(choose_weighted(split, 0.999999) == service("all"));
+}
+
+TEST_CASE("a place in the wait list that is left is not served") {
+    wait_list<int> list;
+    const auto first = list.add(service("s"), 1, 1);
+    list.add(service("s"), 1, 2);
+    list.add(service("s"), 0, 3);
+    list.remove(service("s"), first);
+    CHECK(list.take_first(service("s")) == 3);
+    CHECK(list.take_first(service("s")) == 2);
+    CHECK_FALSE(list.take_first(service("s")));
+}
+
+TEST_CASE("slow backend servers do not raise the delay after which an attempt straggles") {
+    route_statistics statistics;
+    for (int it = 0; it < 100; ++it) {
+        statistics.on_latency(it % 5 == 0 ? milliseconds{200} : milliseconds{10});
+    }
+    CHECK(statistics.straggling_after(0.93, milliseconds{50}) < milliseconds{40});
+}
+
+TEST_CASE("each instance takes its share of a backend server's connections, and one at least") {
+    fleet fleet{1};
+    traffic_state state{test_options(), 1};
+    fleet.configuration.services[service("s0")] = service_options{55};
+    fleet.view.instances = 19;
+    CHECK(state.concurrency(*fleet.published(), service("s0")) == 2);
+    fleet.view.instances = 124;
+    CHECK(state.concurrency(*fleet.published(), service("s0")) == 1);
+}
+
+}  // namespace
+}  // namespace poplarfront::gateway
