--- a/packages/daemon/action_module.cpp
+++ b/packages/daemon/action_module.cpp
@@ -27,7 +27,8 @@
         return {"actions",
                 {"runtime", "instance", "tier_state", "peers", "store", "search", "admission",
                  "caller"},
-                {}, {"search"}};
+                {},
+                {"search"}};
     }
 
     static kernel::result<std::shared_ptr<action_module>> create(kernel::module_context& context) {
--- a/packages/daemon/admission_module.cpp
+++ b/packages/daemon/admission_module.cpp
@@ -19,7 +19,9 @@
 /// Provides the admission of callers' requests.
 class admission_module {
 public:
-    static kernel::module_descriptor descriptor() { return {"admission", {"runtime"}, {}, {"search"}}; }
+    static kernel::module_descriptor descriptor() {
+        return {"admission", {"runtime"}, {}, {"search"}};
+    }
 
     static kernel::result<std::shared_ptr<admission_module>> create(
         kernel::module_context& context) {
--- a/packages/daemon/caller_module.cpp
+++ b/packages/daemon/caller_module.cpp
@@ -92,7 +92,8 @@
 class caller_module {
 public:
     static kernel::module_descriptor descriptor() {
-        return {"caller", {"runtime", "instance", "tier_state", "search", "admission"}, {}, {"search"}};
+        return {
+            "caller", {"runtime", "instance", "tier_state", "search", "admission"}, {}, {"search"}};
     }
 
     static kernel::result<std::shared_ptr<caller_module>> create(kernel::module_context& context) {
--- a/packages/daemon/configuration_module.cpp
+++ b/packages/daemon/configuration_module.cpp
@@ -150,7 +150,8 @@
     static kernel::module_descriptor descriptor() {
         return {"configuration",
                 {"runtime", "instance", "peers", "tier_state", "store", "membership"},
-                {}, {"search"}};
+                {},
+                {"search"}};
     }
 
     static kernel::result<std::shared_ptr<configuration_module>> create(
--- a/packages/daemon/entry_module.cpp
+++ b/packages/daemon/entry_module.cpp
@@ -29,7 +29,8 @@
                   "longest time that a stop takes for callers, stop_delay_ms included, in ms"},
                  {"listen", "stop_delay_ms", kernel::setting_kind::integer, 0, max_drain_ms, "5000",
                   "how long a stop goes on serving new requests, in ms; the load balancer must "
-                  "notice the failing health check in this time"}}, {"search"}};
+                  "notice the failing health check in this time"}},
+                {"search"}};
     }
 
     static kernel::result<std::shared_ptr<entry_module>> create(kernel::module_context& context) {
--- a/packages/daemon/main/poplarfrontd.cpp
+++ b/packages/daemon/main/poplarfrontd.cpp
@@ -126,8 +126,8 @@
                     return {};
                 }
                 const auto profile = current_.text("process", "profile");
-                BOOST_LEAF_CHECK(kernel::check_reload(current_, next,
-                                                      kernel::registered_settings(profile)));
+                BOOST_LEAF_CHECK(
+                    kernel::check_reload(current_, next, kernel::registered_settings(profile)));
                 handlers_->apply(next);
                 spdlog::info("event=reload outcome=applied file={} keys=\"{}\"", file_,
                              fmt::join(next.differences(current_), ", "));
--- a/packages/daemon/membership_module.cpp
+++ b/packages/daemon/membership_module.cpp
@@ -17,7 +17,8 @@
         return {"membership",
                 {"runtime", "instance", "peers", "tier_state"},
                 {{"peers", "seeds", kernel::setting_kind::list, 0, 0, "",
-                  "NAME@IP:PORT of instances to contact first"}}, {"search"}};
+                  "NAME@IP:PORT of instances to contact first"}},
+                {"search"}};
     }
 
     static kernel::result<std::shared_ptr<membership_module>> create(
--- a/packages/daemon/operator_module.cpp
+++ b/packages/daemon/operator_module.cpp
@@ -19,7 +19,11 @@
 class operator_module {
 public:
     static kernel::module_descriptor descriptor() {
-        return {"operator", {"runtime", "instance"}, {}, {}, {"tier_state", "peers", "gateway", "fleet"}};
+        return {"operator",
+                {"runtime", "instance"},
+                {},
+                {},
+                {"tier_state", "peers", "gateway", "fleet"}};
     }
 
     static kernel::result<std::shared_ptr<operator_module>> create(
--- a/packages/daemon/search_module.cpp
+++ b/packages/daemon/search_module.cpp
@@ -24,7 +24,8 @@
 class search_module {
 public:
     static kernel::module_descriptor descriptor() {
-        return {"search", {"runtime", "instance", "tier_state", "peers", "membership"}, {}, {"search"}};
+        return {
+            "search", {"runtime", "instance", "tier_state", "peers", "membership"}, {}, {"search"}};
     }
 
     static kernel::result<std::shared_ptr<search_module>> create(kernel::module_context& context) {
--- a/packages/daemon/store_module.cpp
+++ b/packages/daemon/store_module.cpp
@@ -16,7 +16,8 @@
         return {"store",
                 {"runtime"},
                 {{"store", "address", kernel::setting_kind::address, 0, 0, std::nullopt,
-                  "IP:PORT of the platform's store"}}, {"search"}};
+                  "IP:PORT of the platform's store"}},
+                {"search"}};
     }
 
     static kernel::result<std::shared_ptr<store_module>> create(kernel::module_context& context) {
--- a/packages/daemon/tests/test_tier.cpp
+++ b/packages/daemon/tests/test_tier.cpp
@@ -108,7 +108,10 @@
     write_configuration();
     write_settings();
     for (std::size_t i = 0; i < instance_count; ++i) {
-        processes_[i] = std::make_unique<daemon_process>(folder_ + "/" + name_of(i) + ".ini");
+        processes_[i] = std::make_unique<test_support::child_process>(
+            std::vector<std::string>{POPLARFRONTD_PATH, "--config",
+                                     folder_ + "/" + name_of(i) + ".ini"},
+            folder_ + "/" + name_of(i) + ".log");
     }
     for (std::size_t i = 0; i < instance_count; ++i) {
         std::string last;
--- a/packages/daemon/tests/test_tier.h
+++ b/packages/daemon/tests/test_tier.h
@@ -9,9 +9,9 @@
 #include <string>
 
 #include "backend_server/backend_server.h"
-#include "daemon/tests/daemon_process.h"
 #include "runtime/http_client.h"
 #include "standins/store/store_standin.h"
+#include "support/child_process.h"
 
 namespace poplarfront::daemon {
 
@@ -61,7 +61,7 @@
     standins::backend_server& backend() { return *backend_; }
     /// How often the backend server has executed the action with this key.
     std::uint64_t executions(const std::string& key) const;
-    daemon_process& process(std::size_t instance) { return *processes_[instance]; }
+    test_support::child_process& process(std::size_t instance) { return *processes_[instance]; }
 
     /// A key never used before whose home is `instance` while all instances are alive.
     std::string key_with_home(std::size_t instance, const std::string& searcher = "acme");
@@ -85,7 +85,7 @@
     std::unique_ptr<standins::store_standin> store_;
     std::unique_ptr<standins::backend_server> backend_;
     std::array<addresses, instance_count> addresses_;
-    std::array<std::unique_ptr<daemon_process>, instance_count> processes_;
+    std::array<std::unique_ptr<test_support::child_process>, instance_count> processes_;
     std::uint64_t last_key_ = 0;
 };
 
--- a/packages/gateway/internal/route_index.cpp
+++ b/packages/gateway/internal/route_index.cpp
@@ -38,8 +38,9 @@
     for (auto slash = prefix.rfind('/'); slash != std::string_view::npos;
          slash = slash == 0 ? std::string_view::npos : prefix.rfind('/', slash - 1)) {
         const auto key = std::tuple{std::string_view{wanted}, prefix.substr(0, slash + 1)};
-        const auto it = std::lower_bound(sorted_.begin(), sorted_.end(), key,
-                                         [](const auto* a, const auto& b) { return key_of(*a) < b; });
+        const auto it =
+            std::lower_bound(sorted_.begin(), sorted_.end(), key,
+                             [](const auto* a, const auto& b) { return key_of(*a) < b; });
         if (it != sorted_.end() && key_of(**it) == key) {
             return *it;
         }
--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -26,17 +26,17 @@
 
 /// What a session needs to act.
 template <class T>
-concept session_transport =
-    requires(T& transport, attempt_number attempt, const backend_entry& backend,
-             kernel::time_point until, gateway_answer answer) {
-        // Sends the request to a backend server, which stops work on it at `until`. The result
-        // arrives later through request_session::on_result, never from within the call.
-        { transport.send(attempt, backend, until) } -> std::same_as<void>;
-        // Breaks an attempt off. No result follows.
-        { transport.cancel(attempt) } -> std::same_as<void>;
-        // Answers the client; called once.
-        { transport.answer(std::move(answer)) } -> std::same_as<void>;
-    };
+concept session_transport = requires(T& transport, attempt_number attempt,
+                                     const backend_entry& backend, kernel::time_point until,
+                                     gateway_answer answer) {
+    // Sends the request to a backend server, which stops work on it at `until`. The result
+    // arrives later through request_session::on_result, never from within the call.
+    { transport.send(attempt, backend, until) } -> std::same_as<void>;
+    // Breaks an attempt off. No result follows.
+    { transport.cancel(attempt) } -> std::same_as<void>;
+    // Answers the client; called once.
+    { transport.answer(std::move(answer)) } -> std::same_as<void>;
+};
 
 /// Decides what is done for one request: which backend servers get it, when a second copy is sent,
 /// and when and how the client is answered. A request for one service is a request with one part.
@@ -266,7 +266,8 @@
 
     [[nodiscard]] double cost_factor(const backend_entry& backend, kernel::time_point now) const {
         const auto& options = state_.options();
-        const double far = backend.data_centre.text() == options.data_centre ? 1 : options.remote_cost;
+        const double far =
+            backend.data_centre.text() == options.data_centre ? 1 : options.remote_cost;
         return now < backend.cold_until ? far * options.cold_cost : far;
     }
 
@@ -331,8 +332,8 @@
     void note_overdue(std::size_t index, kernel::time_point now) {
         for (const auto& attempt : attempts_) {
             if (attempt.open && attempt.part == index) {
-                state_.replicas().on_overdue(attempt.backend->id,
-                                             normalised(now - attempt.sent_at), now);
+                state_.replicas().on_overdue(attempt.backend->id, normalised(now - attempt.sent_at),
+                                             now);
             }
         }
     }
@@ -362,7 +363,8 @@
         const auto typical = state_.statistics_of(route_).typical(kernel::duration::zero());
         const auto ahead = state_.waiting().size(part.service);
         const auto room = part.backends->size() * state_.concurrency(*view_, part.service);
-        const auto rounds = static_cast<kernel::duration::rep>(ahead / std::max<std::size_t>(1, room));
+        const auto rounds =
+            static_cast<kernel::duration::rep>(ahead / std::max<std::size_t>(1, room));
         return now + typical * (rounds + 2) > ends_at_;
     }
 
@@ -397,8 +399,9 @@
     [[nodiscard]] kernel::duration normalised(kernel::duration latency) {
         constexpr kernel::duration reference = std::chrono::milliseconds{10};
         const auto typical = state_.statistics_of(route_).typical(latency);
-        const double relative = static_cast<double>(latency.count()) /
-                                static_cast<double>(std::max<kernel::duration::rep>(1, typical.count()));
+        const double relative =
+            static_cast<double>(latency.count()) /
+            static_cast<double>(std::max<kernel::duration::rep>(1, typical.count()));
         return kernel::duration{
             static_cast<kernel::duration::rep>(relative * static_cast<double>(reference.count()))};
     }
@@ -581,7 +584,8 @@
         // Products such as 0.89 * 100 may lie just above a whole number.
         constexpr double rounding = 1e-9;
         const auto parts = static_cast<double>(parts_.size());
-        return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(least * parts - rounding)));
+        return std::max<std::size_t>(1,
+                                     static_cast<std::size_t>(std::ceil(least * parts - rounding)));
     }
 
     [[nodiscard]] bool coverage_suffices() const {
--- a/packages/gateway/session_options.h
+++ b/packages/gateway/session_options.h
@@ -24,8 +24,8 @@
     /// Part of the slack that the instances divide among themselves; the rest is kept for instances
     /// that do not know of each other yet.
     double extra_slack_used = 0.7;
-    /// Part of an instance's share of the slack that it may use right after its start. All instances
-    /// may restart within one window, and then both shares count.
+    /// Part of an instance's share of the slack that it may use right after its start. All
+    /// instances may restart within one window, and then both shares count.
     double initial_tokens = 0.4;
     /// Part of an instance's share of the slack that is kept for requests which would else fail.
     double reserved_part = 0.2;
--- a/packages/gateway/shard_part.h
+++ b/packages/gateway/shard_part.h
@@ -31,7 +31,8 @@
     part_state state = part_state::open;
     /// Backend servers that have got the request.
     std::vector<model::server_id> tried;
-    /// Backend servers that cannot get it, because they are not reached or are others than expected.
+    /// Backend servers that cannot get it, because they are not reached or are others than
+    /// expected.
     std::vector<model::server_id> unreachable;
     /// Times that the request was sent, and how many of these were refused or did not arrive.
     std::uint32_t sends = 0;
--- a/packages/gateway/tests/request_session_test.cpp
+++ b/packages/gateway/tests/request_session_test.cpp
@@ -27,7 +27,8 @@
     CHECK(answer.records == record('z') + record('y') + record('b') + record('a'));
 }
 
-TEST_CASE("a gather with a straggler is answered just before its objective and says what is missing") {
+TEST_CASE(
+    "a gather with a straggler is answered just before its objective and says what is missing") {
     const fleet fleet{4, 1};
     running_session run{fleet, fleet.gather};
     for (std::size_t it = 0; it < 3; ++it) {
@@ -127,8 +128,7 @@
 
 TEST_CASE("a request that may run only once is not sent again after it may have run") {
     const fleet fleet{1, 3};
-    for (const auto end :
-         {attempt_end::lost, attempt_end::timed_out}) {
+    for (const auto end : {attempt_end::lost, attempt_end::timed_out}) {
         running_session run{fleet, at_most_once(fleet.single)};
         run.run_timers(milliseconds{500});
         run.end(0, ended(end), milliseconds{510});
@@ -141,7 +141,8 @@
 
 TEST_CASE("a request that may run only once is sent again after a refusal or an unsent attempt") {
     const fleet fleet{1, 3};
-    for (const auto& first : {status(503, false), ended(attempt_end::not_sent), status(421, false)}) {
+    for (const auto& first :
+         {status(503, false), ended(attempt_end::not_sent), status(421, false)}) {
         running_session run{fleet, at_most_once(fleet.single)};
         run.end(0, first, milliseconds{1});
         REQUIRE(run.transport.sent.size() == 2);
@@ -276,7 +277,9 @@
     CHECK(transports[1].sent.size() == 1);
 }
 
-TEST_CASE("a request that waits too long for a connection is refused, since another instance may have one") {
+TEST_CASE(
+    "a request that waits too long for a connection is refused, since another instance may have "
+    "one") {
     fleet fleet{1, 1};
     fleet.configuration.services[service("s0")] = service_options{1};
     traffic_state state{test_options(), 1};
@@ -389,12 +392,15 @@
     CHECK(first == Approx(0.75 * requests).margin(0.03 * requests));
 }
 
-TEST_CASE("a backend server stops work at the end of the client's patience or of the route's time") {
+TEST_CASE(
+    "a backend server stops work at the end of the client's patience or of the route's time") {
     const fleet fleet{1, 1};
-    CHECK(running_session(fleet, fleet.single, request(milliseconds{200})).transport.sent[0].until <=
-          start_time + milliseconds{200});
-    CHECK(running_session(fleet, fleet.single, request(milliseconds{5000})).transport.sent[0].until <=
-          start_time + milliseconds{600});
+    CHECK(
+        running_session(fleet, fleet.single, request(milliseconds{200})).transport.sent[0].until <=
+        start_time + milliseconds{200});
+    CHECK(
+        running_session(fleet, fleet.single, request(milliseconds{5000})).transport.sent[0].until <=
+        start_time + milliseconds{600});
 }
 
 }  // namespace
--- a/packages/gateway/tests/route_index_test.cpp
+++ b/packages/gateway/tests/route_index_test.cpp
@@ -25,8 +25,8 @@
 }
 
 TEST_CASE("the longest prefix of the host decides, whatever the order of the routes") {
-    const auto index = index_of({made("h", "/a/"), made("h", "/a/b/"), made("g", "/a/b/c/"),
-                                 made("h", "/")});
+    const auto index =
+        index_of({made("h", "/a/"), made("h", "/a/b/"), made("g", "/a/b/c/"), made("h", "/")});
     CHECK(found(index, "h", "/a/b/c/d") == "h/a/b/");
     CHECK(found(index, "h", "/a/x") == "h/a/");
     CHECK(found(index, "h", "/a") == "h/");
--- a/packages/gateway/tests/simulation_test.cpp
+++ b/packages/gateway/tests/simulation_test.cpp
@@ -106,7 +106,7 @@
             REQUIRE(answer.signatures.size() + answer.missing == shards);
             REQUIRE(static_cast<double>(answer.signatures.size()) >=
                     std::get<gather_plan>(route_.target).least_coverage *
-                        static_cast<double>(shards) -
+                            static_cast<double>(shards) -
                         1e-9);
             const std::set<std::string> distinct{answer.signatures.begin(),
                                                  answer.signatures.end()};
--- a/packages/gateway/traffic_state.h
+++ b/packages/gateway/traffic_state.h
@@ -60,7 +60,8 @@
     [[nodiscard]] std::uint32_t concurrency(const fleet_view& view,
                                             const model::service_id& service) const {
         const auto it = view.configuration->services.find(service);
-        const double all = it == view.configuration->services.end() ? 1 : it->second.max_connections;
+        const double all =
+            it == view.configuration->services.end() ? 1 : it->second.max_connections;
         const auto share = static_cast<std::uint32_t>(all * options_.connections_used /
                                                       std::max<std::uint32_t>(1, view.instances));
         return std::clamp<std::uint32_t>(share, 1, options_.max_connections_per_backend);
--- a/packages/kernel/internal/lifecycle.cpp
+++ b/packages/kernel/internal/lifecycle.cpp
@@ -54,8 +54,8 @@
         const auto known = profiles();
         if (std::find(known.begin(), known.end(), it.value) == known.end()) {
             return boost::leaf::new_error(settings_error{
-                fmt::format("{}:{}: [process] profile: \"{}\" is not a known profile", file, it.line,
-                            it.value)});
+                fmt::format("{}:{}: [process] profile: \"{}\" is not a known profile", file,
+                            it.line, it.value)});
         }
         return it.value;
     }
@@ -93,8 +93,8 @@
 }
 
 result<lifecycle> lifecycle::start(module_context& context) {
-    BOOST_LEAF_AUTO(ordered, creation_order(modules_of(
-                                 context.process_settings().text("process", "profile"))));
+    BOOST_LEAF_AUTO(
+        ordered, creation_order(modules_of(context.process_settings().text("process", "profile"))));
     std::vector<running_module> created;
     for (const auto& module : ordered) {
         BOOST_LEAF_AUTO(running, module.create(context));
--- a/packages/kernel/lifecycle.h
+++ b/packages/kernel/lifecycle.h
@@ -26,8 +26,9 @@
 /// Thread safety: used on the main thread only.
 class lifecycle {
 public:
-    /// Creates and starts all modules of the settings' profile. If one fails, those that were started are stopped again.
-    /// Errors: module_error for a missing or circular dependency, and what the module returns.
+    /// Creates and starts all modules of the settings' profile. If one fails, those that were
+    /// started are stopped again. Errors: module_error for a missing or circular dependency, and
+    /// what the module returns.
     static result<lifecycle> start(module_context& context);
 
     /// Stops all modules, the last started first.
--- a/packages/proxy/attempt_calls.h
+++ b/packages/proxy/attempt_calls.h
@@ -28,16 +28,16 @@
           on_answer_(std::move(on_answer)) {}
 
     /// Makes the handler for the results of one attempt. It has to keep the session alive.
-    using handler_source = std::function<std::function<void(gateway::attempt_result)>(
-        gateway::attempt_number)>;
+    using handler_source =
+        std::function<std::function<void(gateway::attempt_result)>(gateway::attempt_number)>;
     /// Precondition: called before the first send.
     void on_results(handler_source source) { handler_for_ = std::move(source); }
 
     void send(gateway::attempt_number attempt, const gateway::backend_entry& backend,
               kernel::time_point until) {
         backend_call call;
-        call.bytes =
-            Protocol::backend_request(forwarded_, backend, until - kernel::time_point::clock::now());
+        call.bytes = Protocol::backend_request(forwarded_, backend,
+                                               until - kernel::time_point::clock::now());
         call.request_id = id_;
         call.fields = fields_;
         call.without_reply_body = forwarded_.without_reply_body;
--- a/packages/proxy/backend_pool.h
+++ b/packages/proxy/backend_pool.h
@@ -24,7 +24,8 @@
 
 struct backend_pool_options {
     kernel::duration connect_timeout = std::chrono::milliseconds{250};
-    /// How long after its end a call is still waited for, since a backend server answers at the end.
+    /// How long after its end a call is still waited for, since a backend server answers at the
+    /// end.
     kernel::duration late_reply = std::chrono::milliseconds{30};
     /// How long an idle connection is used again if the backend server tells no time.
     kernel::duration default_idle = std::chrono::milliseconds{900};
@@ -68,8 +69,8 @@
         auto opened = std::make_shared<backend_connection>(context_);
         opened->server = backend.id;
         opened->call = std::move(call);
-        opened->connect_until = std::min(opened->call->until,
-                                         kernel::time_point::clock::now() + options_.connect_timeout);
+        opened->connect_until = std::min(
+            opened->call->until, kernel::time_point::clock::now() + options_.connect_timeout);
         busy_.insert(opened);
         connect(opened, backend.address);
         check_later();
@@ -175,14 +176,12 @@
         if (connection->call->without_reply_body) {
             connection->parser->skip(true);
         }
-        boost::asio::async_write(connection->socket, boost::asio::buffer(connection->call->bytes),
-                                 [this, connection](const error_code& ec, std::size_t) {
-                                     connection->written = !ec;
-                                 });
-        boost::beast::http::async_read(connection->socket, connection->buffer, *connection->parser,
-                                       [this, connection](const error_code& ec, std::size_t) {
-                                           on_read(connection, ec);
-                                       });
+        boost::asio::async_write(
+            connection->socket, boost::asio::buffer(connection->call->bytes),
+            [this, connection](const error_code& ec, std::size_t) { connection->written = !ec; });
+        boost::beast::http::async_read(
+            connection->socket, connection->buffer, *connection->parser,
+            [this, connection](const error_code& ec, std::size_t) { on_read(connection, ec); });
     }
 
     void on_read(const connection_ptr& connection, const error_code& ec) {
@@ -194,7 +193,8 @@
             return;
         }
         const bool reusable = connection->parser->get().keep_alive() && connection->written &&
-                              connection->buffer.size() == 0 && !connection->parser->get().need_eof();
+                              connection->buffer.size() == 0 &&
+                              !connection->parser->get().need_eof();
         auto message = connection->parser->release();
         connection->usable_until = now() + idle_time(message);
         auto reply = Protocol::read_reply(std::move(message), connection->call->request_id,
@@ -275,8 +275,9 @@
             }
             // Other connections to a silent backend server may be silent too.
             idle_.erase(it->server);
-            end(it, {it->connected ? gateway::attempt_end::timed_out : gateway::attempt_end::not_sent,
-                     {}});
+            end(it,
+                {it->connected ? gateway::attempt_end::timed_out : gateway::attempt_end::not_sent,
+                 {}});
         }
         if (!busy_.empty()) {
             check_later();
--- a/packages/proxy/client_connection.h
+++ b/packages/proxy/client_connection.h
@@ -54,8 +54,7 @@
         std::size_t bytes = 0;
         std::optional<gateway::gateway_answer> answer;
     };
-    using request_parser =
-        boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     using error_code = boost::system::error_code;
 
     static kernel::time_point now() { return kernel::time_point::clock::now(); }
@@ -165,7 +164,8 @@
 
     void send_continue(request_parser& parser) {
         namespace http = boost::beast::http;
-        if (continued_ || !boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        if (continued_ ||
+            !boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             return;
         }
         continued_ = true;
@@ -279,10 +279,9 @@
         };
         const auto state = std::make_shared<progress>();
         state->rest = bytes.substr(sent);
-        boost::asio::async_write(socket_, boost::asio::buffer(state->rest),
-                                 [state](const error_code& ec, std::size_t) {
-                                     state->ended.push(!ec);
-                                 });
+        boost::asio::async_write(
+            socket_, boost::asio::buffer(state->rest),
+            [state](const error_code& ec, std::size_t) { state->ended.push(!ec); });
         const auto ended = state->ended.pop_until(now() + limits().idle_timeout);
         return ended.value_or(false);
     }
--- a/packages/proxy/front_server.h
+++ b/packages/proxy/front_server.h
@@ -50,8 +50,7 @@
             acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
         }
         if (ec) {
-            return boost::leaf::new_error(
-                runtime::listen_error{options_.address, ec.message()});
+            return boost::leaf::new_error(runtime::listen_error{options_.address, ec.message()});
         }
         shared_->thread->spawn([self = this->shared_from_this()] { self->accept_loop(); });
         return {};
@@ -74,8 +73,8 @@
     void accept_loop() {
         while (acceptor_.is_open()) {
             boost::asio::ip::tcp::socket socket{shared_->thread->context()};
-            const auto [ec] = runtime::await(
-                [&](auto handler) { acceptor_.async_accept(socket, handler); });
+            const auto [ec] =
+                runtime::await([&](auto handler) { acceptor_.async_accept(socket, handler); });
             if (ec == boost::asio::error::operation_aborted) {
                 return;
             }
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -29,8 +29,7 @@
         return {"gateway", {"runtime", "instance", "fleet"}, gateway_settings(), {"gateway"}};
     }
 
-    static kernel::result<std::shared_ptr<gateway_module>> create(
-        kernel::module_context& context) {
+    static kernel::result<std::shared_ptr<gateway_module>> create(kernel::module_context& context) {
         const auto& settings = context.process_settings();
         const auto publisher = context.require<fleet_publisher>();
         auto module = std::make_shared<gateway_module>();
@@ -43,7 +42,8 @@
                 front_server<Protocol>::create(shared, server_options_from(settings)));
             module->contexts_.push_back(std::move(shared));
         }
-        publisher->on_published([contexts = module->contexts_] { drop_idle_connections(contexts); });
+        publisher->on_published(
+            [contexts = module->contexts_] { drop_idle_connections(contexts); });
         context.require<kernel::reload_handlers>()->add(
             [contexts = module->contexts_](const kernel::settings& next) {
                 for (const auto& it : contexts) {
@@ -65,14 +65,14 @@
                 }
                 runtime::http_server_options options;
                 options.address = ready_address_;
-                BOOST_LEAF_ASSIGN(
-                    ready_server_,
-                    runtime::http_server::create(
-                        threads_->control, options,
-                        [readiness = readiness_](const runtime::http_request&) {
-                            return readiness->ready() ? runtime::http_response{ok, "{}"}
-                                                      : runtime::http_response{unavailable, "{}"};
-                        }));
+                BOOST_LEAF_ASSIGN(ready_server_,
+                                  runtime::http_server::create(
+                                      threads_->control, options,
+                                      [readiness = readiness_](const runtime::http_request&) {
+                                          return readiness->ready()
+                                                     ? runtime::http_response{ok, "{}"}
+                                                     : runtime::http_response{unavailable, "{}"};
+                                      }));
                 return {};
             },
             [](const runtime::listen_error& error) -> kernel::result<void> {
@@ -105,8 +105,8 @@
         readiness_ = context.require<kernel::readiness>();
         readiness_->add([view] { return view->read()->configuration != nullptr; });
         readiness_->add([contexts = contexts_] { return !contexts.front()->stopping; });
-        context.require<kernel::state_registry>()->add("gateway",
-                                                       [contexts = contexts_] { return dump(contexts); });
+        context.require<kernel::state_registry>()->add(
+            "gateway", [contexts = contexts_] { return dump(contexts); });
     }
 
     /// Connections to backend servers that have left are of no use.
@@ -131,12 +131,13 @@
         std::string text = "[";
         for (const auto& it : contexts) {
             it->thread->run([&] {
-                text += std::string{text.size() > 1 ? "," : ""} + "{\"open_requests\":" +
-                        std::to_string(it->open_requests) +
-                        ",\"connections\":" + std::to_string(it->pool.connections()) +
-                        ",\"latency\":" + metrics::encode_latency(it->latencies.snapshot()) +
-                        ",\"counters\":" + metrics::encode_counters(it->state.counters().snapshot()) +
-                        "}";
+                text +=
+                    std::string{text.size() > 1 ? "," : ""} +
+                    "{\"open_requests\":" + std::to_string(it->open_requests) +
+                    ",\"connections\":" + std::to_string(it->pool.connections()) +
+                    ",\"latency\":" + metrics::encode_latency(it->latencies.snapshot()) +
+                    ",\"counters\":" + metrics::encode_counters(it->state.counters().snapshot()) +
+                    "}";
             });
         }
         return text + "]";
--- a/packages/proxy/gateway_protocol.h
+++ b/packages/proxy/gateway_protocol.h
@@ -46,24 +46,24 @@
 /// The names and formats that clients and backend servers speak. Implementations decide nothing.
 /// All functions must be thread-safe.
 template <class T>
-concept gateway_protocol =
-    requires(http_request request, http_response response, kernel::time_point now,
-             const forwarded_request& forwarded, const gateway::backend_entry& backend,
-             kernel::duration left, const std::string& id, reply_fields fields,
-             const gateway::gateway_answer& answer, bool keep_alive, unsigned status,
-             const std::string& reason) {
-        {
-            T::read_request(std::move(request), now)
+concept gateway_protocol = requires(http_request request, http_response response,
+                                    kernel::time_point now, const forwarded_request& forwarded,
+                                    const gateway::backend_entry& backend, kernel::duration left,
+                                    const std::string& id, reply_fields fields,
+                                    const gateway::gateway_answer& answer, bool keep_alive,
+                                    unsigned status, const std::string& reason) {
+    {
+        T::read_request(std::move(request), now)
         } -> std::same_as<std::variant<received_request, refused_request>>;
-        // The bytes for one backend server, which stops work after `left`.
-        { T::backend_request(forwarded, backend, left) } -> std::same_as<std::string>;
-        // Nothing if the response does not belong to the request `id` or cannot be used.
-        {
-            T::read_reply(std::move(response), id, fields)
+    // The bytes for one backend server, which stops work after `left`.
+    { T::backend_request(forwarded, backend, left) } -> std::same_as<std::string>;
+    // Nothing if the response does not belong to the request `id` or cannot be used.
+    {
+        T::read_reply(std::move(response), id, fields)
         } -> std::same_as<std::optional<gateway::backend_reply>>;
-        // The bytes of an answer to the client.
-        { T::answer_bytes(answer, id, keep_alive) } -> std::same_as<std::string>;
-        { T::failure_bytes(status, reason, keep_alive) } -> std::same_as<std::string>;
-    };
+    // The bytes of an answer to the client.
+    { T::answer_bytes(answer, id, keep_alive) } -> std::same_as<std::string>;
+    { T::failure_bytes(status, reason, keep_alive) } -> std::same_as<std::string>;
+};
 
 }  // namespace poplarfront::proxy
--- a/packages/proxy/internal/fleet_publisher.cpp
+++ b/packages/proxy/internal/fleet_publisher.cpp
@@ -26,10 +26,11 @@
     for (const auto& [service, list] : next.backends) {
         backends += list.size();
     }
-    spdlog::info("event=fleet_changed config={} config_before={} backends={} instances={} current={}",
-                 next.configuration == nullptr ? 0 : next.configuration->version,
-                 before->configuration == nullptr ? 0 : before->configuration->version, backends,
-                 next.instances, next.current);
+    spdlog::info(
+        "event=fleet_changed config={} config_before={} backends={} instances={} current={}",
+        next.configuration == nullptr ? 0 : next.configuration->version,
+        before->configuration == nullptr ? 0 : before->configuration->version, backends,
+        next.instances, next.current);
     view_->publish(std::move(next));
     if (on_published_) {
         on_published_();
--- a/packages/proxy/internal/gateway_settings.cpp
+++ b/packages/proxy/internal/gateway_settings.cpp
@@ -31,7 +31,8 @@
         {"gateway", "extra_ratio", setting_kind::decimal, 0, 1, "0.2",
          "extra requests to a service allowed for each request, of all instances", true},
         {"gateway", "extra_slack", setting_kind::decimal, 0, max_extra, "100",
-         "extra requests to a service allowed beyond the ratio, of all instances, in a window", true},
+         "extra requests to a service allowed beyond the ratio, of all instances, in a window",
+         true},
     };
 }
 
--- a/packages/proxy/internal/request_log.cpp
+++ b/packages/proxy/internal/request_log.cpp
@@ -24,10 +24,10 @@
         "event=answer request={} route={} outcome={} status={} reason=\"{}\" ms={:.1f} "
         "patience_ms={:.0f} objective_ms={:.0f} config={} shards={} covered={} attempts={} "
         "hedges={} retries={} over_budget={} last_failure={}",
-        request.id, route.name, gateway::to_string(answer.kind), answer.reply.status,
-        answer.reason, ms(elapsed), ms(request.patience), ms(route.objective),
-        summary.configuration_version, summary.shards, summary.covered, summary.attempts,
-        summary.hedges, summary.retries, summary.over_budget, or_none(summary.last_failure));
+        request.id, route.name, gateway::to_string(answer.kind), answer.reply.status, answer.reason,
+        ms(elapsed), ms(request.patience), ms(route.objective), summary.configuration_version,
+        summary.shards, summary.covered, summary.attempts, summary.hedges, summary.retries,
+        summary.over_budget, or_none(summary.last_failure));
 }
 
 void log_client_gone(const gateway::client_request& request, const gateway::route& route,
--- a/packages/proxy/proxied_request.h
+++ b/packages/proxy/proxied_request.h
@@ -20,13 +20,10 @@
 public:
     using answer_handler = typename attempt_calls<Protocol>::answer_handler;
 
-    static std::shared_ptr<proxied_request> create(boost::asio::io_context& context,
-                                                   gateway::traffic_state& state,
-                                                   backend_pool<Protocol>& pool,
-                                                   std::shared_ptr<const gateway::fleet_view> view,
-                                                   const gateway::route& route,
-                                                   received_request request,
-                                                   answer_handler on_answer) {
+    static std::shared_ptr<proxied_request> create(
+        boost::asio::io_context& context, gateway::traffic_state& state,
+        backend_pool<Protocol>& pool, std::shared_ptr<const gateway::fleet_view> view,
+        const gateway::route& route, received_request request, answer_handler on_answer) {
         std::shared_ptr<proxied_request> created(
             new proxied_request(context, state, pool, std::move(view), route, std::move(request),
                                 std::move(on_answer)));
@@ -58,8 +55,7 @@
 private:
     proxied_request(boost::asio::io_context& context, gateway::traffic_state& state,
                     backend_pool<Protocol>& pool, std::shared_ptr<const gateway::fleet_view> view,
-                    const gateway::route& route, received_request request,
-                    answer_handler on_answer)
+                    const gateway::route& route, received_request request, answer_handler on_answer)
         : timer_(context),
           calls_(pool, std::move(request.forwarded), request.request.id,
                  std::holds_alternative<gateway::gather_plan>(route.target) ? reply_fields::none
@@ -78,13 +74,12 @@
         }
         armed_for_ = next;
         timer_.expires_at(*next);
-        timer_.async_wait(
-            [weak = this->weak_from_this()](const boost::system::error_code& ec) {
-                const auto self = weak.lock();
-                if (!ec && self != nullptr) {
-                    self->on_timer();
-                }
-            });
+        timer_.async_wait([weak = this->weak_from_this()](const boost::system::error_code& ec) {
+            const auto self = weak.lock();
+            if (!ec && self != nullptr) {
+                self->on_timer();
+            }
+        });
     }
 
     void on_timer() {
--- /dev/null
+++ b/packages/proxy/tests/gateway_settings_test.cpp
@@ -0,0 +1,35 @@
+#include "proxy/gateway_settings.h"
+
+#include <catch2/catch.hpp>
+
+namespace poplarfront::proxy {
+namespace {
+
+kernel::result<kernel::settings> parse(const std::string& more) {
+    auto known = gateway_settings();
+    known.push_back({"instance", "data_centre", kernel::setting_kind::identifier});
+    return kernel::settings::parse("a.ini",
+                                   "[instance]\ndata_centre = here\n[gateway]\n"
+                                   "clients = 127.0.0.1:1\nready = 127.0.0.1:2\n" +
+                                       more,
+                                   known);
+}
+
+TEST_CASE("the budget of extra requests stays below what is allowed") {
+    const auto settings = parse("extra_ratio = 0.2\nextra_slack = 122\n");
+    REQUIRE(settings);
+    const auto options = session_options_from(settings.value());
+    CHECK(options.extra_ratio < 0.2);
+    CHECK(options.extra_slack * options.extra_slack_used * (1 + options.initial_tokens) <= 122);
+    CHECK(options.data_centre == "here");
+}
+
+TEST_CASE("settings out of range are refused instead of taken for others") {
+    CHECK_FALSE(parse("extra_ratio = 1.5\n"));
+    CHECK_FALSE(parse("extra_ratio = nan\n"));
+    CHECK_FALSE(parse("extra_slack = -1\n"));
+    CHECK_FALSE(parse("drain_ms = 1.5\n"));
+}
+
+}  // namespace
+}  // namespace poplarfront::proxy
--- a/packages/runtime/internal/http_client.cpp
+++ b/packages/runtime/internal/http_client.cpp
@@ -159,11 +159,11 @@
         }
         auto opened = std::make_unique<connection>(
             connection{beast::tcp_stream{thread_->context()}, beast::flat_buffer{}});
-        // A connection attempt to a host that is cut off is repeated by the system after ever longer
-        // pauses, so it would outlast the cut.
+        // A connection attempt to a host that is cut off is repeated by the system after ever
+        // longer pauses, so it would outlast the cut.
         constexpr auto connect_timeout = std::chrono::milliseconds{700};
-        opened->stream.expires_at(
-            std::min<kernel::time_point>(deadline, kernel::time_point::clock::now() + connect_timeout));
+        opened->stream.expires_at(std::min<kernel::time_point>(
+            deadline, kernel::time_point::clock::now() + connect_timeout));
         in_use_.insert(&opened->stream);
         const auto [ec] =
             await([&](auto handler) { opened->stream.async_connect(*endpoint, handler); });
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,7 @@
   files=("$@")
 else
   mapfile -t files < <(git ls-files -co --exclude-standard 'packages/*.cpp' 'packages/*.h' \
-    'standins/*.cpp' 'standins/*.h' 'tools/*.cpp' 'tools/*.h' 'tests/*.cpp' 'tests/*.h' | grep -v '/generated/')
+    'standins/*.cpp' 'standins/*.h' 'tools/*.cpp' 'tools/*.h' 'tests/*.cpp' 'tests/*.h' 'platform/*.cpp' 'platform/*.h' | grep -v '/generated/')
 fi
 if ((fix)); then
   clang-format -i "${files[@]}"
--- a/tests/processes/idle_test.cpp
+++ b/tests/processes/idle_test.cpp
@@ -10,7 +10,7 @@
     constexpr auto allowed = milliseconds{100};
     tier tier{{.instances = 3, .shards = 2}};
     REQUIRE(tier.search(0, "all").complete);
-    const std::vector<std::pair<std::string, child_process*>> processes{
+    const std::vector<std::pair<std::string, poplarfront::test_support::child_process*>> processes{
         {"poplarfrontd", &tier.instance(0)},
         {"poplarfrontd", &tier.instance(2)},
         {"store_standin", &tier.store()},
--- a/tests/processes/input_test.cpp
+++ b/tests/processes/input_test.cpp
@@ -100,8 +100,9 @@
     tier tier{{.instances = 0, .shards = 1, .publish = false}};
     const auto file =
         tier.write_file("bad.ini", "[instance]\nname = a\n\n[listen]\npeers = nowhere\n");
-    child_process program{{POPLARFRONTD_PROGRAM, "--config", file.string(), "--check-config"},
-                          file.string() + ".log"};
+    poplarfront::test_support::child_process program{
+        {POPLARFRONTD_PROGRAM, "--config", file.string(), "--check-config"},
+        file.string() + ".log"};
     CHECK(program.wait(seconds{5}) == 1);
     const auto output = program.output();
     INFO(output);
--- a/tests/processes/tier.cpp
+++ b/tests/processes/tier.cpp
@@ -89,7 +89,7 @@
       directory_(make_directory()),
       thread_(runtime::fiber_thread::create("test-client")) {
     thread_->run([this] { client_ = runtime::http_client::create(thread_); });
-    store_ = std::make_unique<child_process>(
+    store_ = std::make_unique<test_support::child_process>(
         std::vector<std::string>{STORE_PROGRAM, "--listen", store_address()},
         directory_ / "store.log");
     backends_.resize(options_.shards * 2);
@@ -194,7 +194,7 @@
 std::size_t tier::start_instance(std::size_t seeds) {
     const auto n = instances_.size();
     const auto file = write_file(instance_name(n) + ".ini", instance_settings(n, seeds));
-    instances_.push_back(std::make_unique<child_process>(
+    instances_.push_back(std::make_unique<test_support::child_process>(
         std::vector<std::string>{POPLARFRONTD_PROGRAM, "--config", file.string()},
         directory_ / (instance_name(n) + ".log")));
     return n;
@@ -216,8 +216,8 @@
                                      all};
     command.insert(command.end(), options_.backend_arguments.begin(),
                    options_.backend_arguments.end());
-    backends_.at(n) =
-        std::make_unique<child_process>(command, directory_ / (server_name(n) + ".log"));
+    backends_.at(n) = std::make_unique<test_support::child_process>(
+        command, directory_ / (server_name(n) + ".log"));
 }
 
 std::filesystem::path tier::write_file(const std::string& name, const std::string& text) const {
@@ -246,7 +246,8 @@
            options_.policy;
 }
 
-std::unique_ptr<child_process> tier::start_poplarctl(const std::vector<std::string>& arguments) {
+std::unique_ptr<test_support::child_process> tier::start_poplarctl(
+    const std::vector<std::string>& arguments) {
     std::vector<std::string> command{POPLARCTL_PROGRAM, "--store", store_address(), "--deployment",
                                      deployment};
     if (!instances_.empty()) {
@@ -254,7 +255,7 @@
     }
     command.insert(command.end(), arguments.begin(), arguments.end());
     const auto log = directory_ / ("poplarctl-" + std::to_string(programs_++) + ".log");
-    return std::make_unique<child_process>(command, log);
+    return std::make_unique<test_support::child_process>(command, log);
 }
 
 program_result tier::poplarctl(const std::vector<std::string>& arguments) {
--- a/tests/processes/tier.h
+++ b/tests/processes/tier.h
@@ -11,9 +11,9 @@
 #include <thread>
 #include <vector>
 
-#include "processes/child_process.h"
 #include "runtime/fiber_thread.h"
 #include "runtime/http_client.h"
+#include "support/child_process.h"
 
 namespace poplarfront::process_tests {
 
@@ -71,9 +71,9 @@
     tier(const tier&) = delete;
     tier& operator=(const tier&) = delete;
 
-    [[nodiscard]] child_process& store() { return *store_; }
-    [[nodiscard]] child_process& backend(std::size_t n) { return *backends_.at(n); }
-    [[nodiscard]] child_process& instance(std::size_t n) { return *instances_.at(n); }
+    [[nodiscard]] test_support::child_process& store() { return *store_; }
+    [[nodiscard]] test_support::child_process& backend(std::size_t n) { return *backends_.at(n); }
+    [[nodiscard]] test_support::child_process& instance(std::size_t n) { return *instances_.at(n); }
     [[nodiscard]] std::size_t instances() const { return instances_.size(); }
     [[nodiscard]] std::size_t backends() const { return backends_.size(); }
     [[nodiscard]] std::string caller_address(std::size_t n) const;
@@ -87,7 +87,8 @@
     void start_backend(std::size_t n);
 
     /// Starts poplarctl. Needs `wait` by the caller.
-    std::unique_ptr<child_process> start_poplarctl(const std::vector<std::string>& arguments);
+    std::unique_ptr<test_support::child_process> start_poplarctl(
+        const std::vector<std::string>& arguments);
     program_result poplarctl(const std::vector<std::string>& arguments);
     /// Publishes a section and waits until it is in force on the running instances.
     program_result publish(const std::string& section, const std::string& text);
@@ -125,9 +126,9 @@
     std::filesystem::path directory_;
     std::shared_ptr<runtime::fiber_thread> thread_;
     std::shared_ptr<runtime::http_client> client_;
-    std::unique_ptr<child_process> store_;
-    std::vector<std::unique_ptr<child_process>> backends_;
-    std::vector<std::unique_ptr<child_process>> instances_;
+    std::unique_ptr<test_support::child_process> store_;
+    std::vector<std::unique_ptr<test_support::child_process>> backends_;
+    std::vector<std::unique_ptr<test_support::child_process>> instances_;
 };
 
 /// Sends searches from threads of its own until it is stopped.
--- a/tests/processes/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -1,4 +1,4 @@
-#include "processes/child_process.h"
+#include "support/child_process.h"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -13,7 +13,7 @@
 
 extern char** environ;
 
-namespace poplarfront::process_tests {
+namespace poplarfront::test_support {
 
 child_process::child_process(std::vector<std::string> command, std::filesystem::path output)
     : output_(std::move(output)) {
@@ -87,4 +87,4 @@
     return std::chrono::milliseconds{(user + system) * ms_per_second / sysconf(_SC_CLK_TCK)};
 }
 
-}  // namespace poplarfront::process_tests
+}  // namespace poplarfront::test_support
--- a/tests/processes/child_process.h
+++ b/tests/support/child_process.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace poplarfront::process_tests {
+namespace poplarfront::test_support {
 
 /// A process that ends with this object. Its output goes to a file.
 ///
@@ -35,4 +35,4 @@
     std::filesystem::path output_;
 };
 
-}  // namespace poplarfront::process_tests
+}  // namespace poplarfront::test_support
