--- a/packages/daemon/main/poplarfrontd.cpp
+++ b/packages/daemon/main/poplarfrontd.cpp
@@ -1,6 +1,7 @@
 #include <getopt.h>
 #include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -16,6 +17,7 @@
 #include "kernel/lifecycle.h"
 #include "kernel/reload.h"
 #include "kernel/state_registry.h"
+#include "logging/log_output.h"
 #include "runtime/thread_set.h"
 
 namespace poplarfront::daemon {
@@ -212,7 +214,8 @@
         return exit_ok;
     }
     const auto name = settings.text("instance", "name");
-    spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %^%l%$ instance=" + name + " %v");
+    const auto output = logging::log_output::create(STDOUT_FILENO);
+    spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l instance=" + name + " %v");
     spdlog::set_level(spdlog::level::from_str(settings.text("log", "level")));
     kernel::module_context context{settings};
     BOOST_LEAF_AUTO(running, kernel::lifecycle::start(context));
--- a/packages/daemon/operator_module.cpp
+++ b/packages/daemon/operator_module.cpp
@@ -5,6 +5,7 @@
 #include "kernel/module_registration.h"
 #include "kernel/readiness.h"
 #include "kernel/state_registry.h"
+#include "metrics/exposition.h"
 #include "runtime/http_server.h"
 #include "runtime/route_table.h"
 #include "runtime/thread_set.h"
@@ -37,6 +38,12 @@
             [state = context.require<kernel::state_registry>()](const runtime::http_request&) {
                 return runtime::http_response{200, state->dump()};
             });
+        module->routes_->add(
+            "GET", "/metrics",
+            [metrics = context.require<metrics::metrics_registry>()](const runtime::http_request&) {
+                return runtime::http_response{200, metrics->page(), "",
+                                              "text/plain; version=0.0.4"};
+            });
         module->routes_->add(
             "GET", "/healthz",
             [stopping = module->stopping_,
--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -104,7 +104,6 @@
         }
         answered_ = true;
         leave_wait_lists();
-        state_.counters().add("clients_gone");
         if (route_.kind == repetition::safe) {
             abandon_at_ = now + state_.options().abandon_delay;
         }
@@ -316,6 +315,7 @@
         if (send(index, now) == send_outcome::sent) {
             budget_of(part).try_take_reserved(now);
             ++summary_.hedges;
+            state_.counters().add("hedge_sent");
             part.overdue_at.reset();
         }
     }
@@ -431,6 +431,7 @@
             note_failure(attempt, result.reply.executed ? "failure_status" : "not_executed");
             return;
         }
+        state_.counters().add("success");
         replicas.on_answered(id, normalised(latency), load_of(result.reply), now);
         state_.statistics_of(route_).on_latency(latency);
     }
@@ -443,7 +444,7 @@
     }
 
     void note_failure(const backend_attempt& attempt, std::string_view what) {
-        state_.counters().add(std::string{"attempts_"} + std::string{what});
+        state_.counters().add(what);
         summary_.last_failure = std::string{what} + "@" + attempt.backend->id.text();
     }
 
@@ -556,6 +557,7 @@
         switch (send_again(index, now)) {
             case send_outcome::sent:
                 ++summary_.retries;
+                state_.counters().add("retry_sent");
                 budget_of(part).try_take_reserved(now);
                 return;
             case send_outcome::all_busy:
--- a/packages/proxy/client_connection.h
+++ b/packages/proxy/client_connection.h
@@ -234,6 +234,7 @@
             }
             if (next->kind == event_kind::closed) {
                 request.on_client_gone();
+                shared_->answers.add("client_gone");
                 log_client_gone(request.request(), request.request_route(), request.summary(),
                                 now() - began);
                 return false;
@@ -241,8 +242,7 @@
             const bool kept = keep_alive && !shared_->stopping;
             const auto elapsed = now() - began;
             shared_->latencies.record(elapsed);
-            shared_->state.counters().add(std::string{"answers_"} +
-                                          std::string{to_string(next->answer->kind)});
+            shared_->answers.add(to_string(next->answer->kind));
             const bool written =
                 write(Protocol::answer_bytes(*next->answer, request.request().id, kept));
             log_answer(request.request(), request.request_route(), *next->answer, elapsed);
@@ -253,7 +253,7 @@
     bool refuse(const std::string& id, unsigned status, const std::string& reason,
                 bool keep_alive) {
         const bool kept = keep_alive && !shared_->stopping;
-        shared_->state.counters().add("answers_" + std::to_string(status));
+        shared_->answers.add(std::to_string(status));
         log_refused(id, status, reason);
         return write(Protocol::failure_bytes(status, reason, kept)) && kept;
     }
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -12,6 +12,7 @@
 #include "kernel/readiness.h"
 #include "kernel/reload.h"
 #include "kernel/state_registry.h"
+#include "metrics/exposition.h"
 #include "metrics/metrics_json.h"
 #include "proxy/fleet_publisher.h"
 #include "proxy/front_server.h"
@@ -105,6 +106,10 @@
         readiness_ = context.require<kernel::readiness>();
         readiness_->add([view] { return view->read()->configuration != nullptr; });
         readiness_->add([contexts = contexts_] { return !contexts.front()->stopping; });
+        context.require<metrics::metrics_registry>()->add(
+            [contexts = contexts_, view](metrics::exposition& page) {
+                add_metrics(contexts, *view->read(), page);
+            });
         context.require<kernel::state_registry>()->add(
             "gateway", [contexts = contexts_] { return dump(contexts); });
     }
@@ -127,6 +132,46 @@
         }
     }
 
+    static void add_metrics(const context_list& contexts, const gateway::fleet_view& view,
+                            metrics::exposition& page) {
+        metrics::counter_snapshot answers;
+        metrics::counter_snapshot attempts;
+        metrics::latency_snapshot latencies;
+        typename backend_pool<Protocol>::counters connections;
+        std::uint64_t open_requests = 0;
+        for (const auto& it : contexts) {
+            it->thread->run([&] {
+                answers = metrics::merged(answers, it->answers.snapshot());
+                attempts = metrics::merged(attempts, it->state.counters().snapshot());
+                latencies = metrics::merged(latencies, it->latencies.snapshot());
+                connections.opened += it->pool.count().opened;
+                connections.reused += it->pool.count().reused;
+                connections.failed_to_open += it->pool.count().failed_to_open;
+                open_requests += it->open_requests;
+            });
+        }
+        page.counters("poplarfront_answers_total", "Answers to clients by kind or own status.",
+                      "kind", answers);
+        page.counters("poplarfront_attempts_total", "Requests to backend servers by outcome.",
+                      "outcome", attempts);
+        page.histogram("poplarfront_answer_seconds",
+                       "Time from the end of a request to its answer.", latencies);
+        page.counter("poplarfront_backend_connections_opened_total",
+                     "Connections opened to backend servers.", connections.opened);
+        page.counter("poplarfront_backend_connections_reused_total",
+                     "Requests sent on connections that were open.", connections.reused);
+        page.counter("poplarfront_backend_connections_failed_total",
+                     "Connections to backend servers that could not be opened.",
+                     connections.failed_to_open);
+        page.gauge("poplarfront_open_requests", "Requests under way.", open_requests);
+        page.gauge("poplarfront_configuration_version", "Version of the configuration in force.",
+                   view.configuration == nullptr ? 0 : view.configuration->version);
+        page.gauge("poplarfront_instances", "Instances that share the backend servers.",
+                   view.instances);
+        page.gauge("poplarfront_store_reached", "1 if the last call of the store was answered.",
+                   view.current ? 1 : 0);
+    }
+
     static std::string dump(const context_list& contexts) {
         std::string text = "[";
         for (const auto& it : contexts) {
--- a/packages/proxy/traffic_context.h
+++ b/packages/proxy/traffic_context.h
@@ -32,6 +32,8 @@
     gateway::traffic_state state;
     backend_pool<Protocol> pool;
     metrics::latency_histogram latencies;
+    /// Answers by kind or status.
+    metrics::counter_set answers;
     std::atomic<bool> stopping = false;
     std::size_t open_requests = 0;
 };
--- a/packages/runtime/runtime_module.cpp
+++ b/packages/runtime/runtime_module.cpp
@@ -5,6 +5,7 @@
 #include "kernel/readiness.h"
 #include "kernel/reload.h"
 #include "kernel/state_registry.h"
+#include "metrics/exposition.h"
 #include "runtime/route_table.h"
 #include "runtime/thread_set.h"
 
@@ -32,6 +33,7 @@
         context.provide(threads);
         context.provide(std::make_shared<kernel::state_registry>());
         context.provide(std::make_shared<kernel::readiness>());
+        context.provide(std::make_shared<metrics::metrics_registry>());
         context.provide(std::make_shared<kernel::reload_handlers>());
         context.provide(std::make_shared<caller_routes>());
         context.provide(std::make_shared<operator_routes>());
