--- a/packages/gateway/fleet_tracker.h
+++ b/packages/gateway/fleet_tracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,10 +14,16 @@
 
 struct fleet_options {
     /// After an outage of the store, backend servers whose registrations lapsed meanwhile register
-    /// again within about 2 s; until then a removal is not believed.
-    kernel::duration removal_grace = std::chrono::milliseconds{2500};
+    /// again within about 2 s; until then a removal is not believed. It has to end, with the time
+    /// that news take, within the time in which a backend server that leaves is left alone.
+    kernel::duration removal_grace = std::chrono::milliseconds{2100};
     /// How long after trouble with the store a removal counts as a consequence of it.
     kernel::duration trouble_memory = std::chrono::seconds{4};
+    /// An outage that an instance did not see shows in many removals at once: this part of all
+    /// backend servers, and this number, within the window.
+    double mass_removal_part = 0.2;
+    std::size_t mass_removal_least = 3;
+    kernel::duration mass_removal_window = std::chrono::milliseconds{1500};
     /// How long an instance is counted after its registration was removed. An instance whose lease
     /// lapsed may live on, and a share of a common limit that is too large breaks the limit.
     kernel::duration instance_memory = std::chrono::seconds{60};
@@ -77,6 +84,8 @@
         std::optional<kernel::time_point> remove_at;
     };
 
+    /// Whether a removal at `now` is one of many, or follows trouble with the store.
+    bool may_be_lapse(kernel::time_point now);
     bool is_newer(const model::server_id& id, std::uint64_t revision) const;
 
     fleet_options options_;
@@ -86,6 +95,8 @@
     std::map<std::string, std::optional<kernel::time_point>> instances_;
     bool current_ = false;
     std::optional<kernel::time_point> last_trouble_;
+    /// The times of removals in the window.
+    std::deque<kernel::time_point> removals_;
     bool changed_ = false;
 };
 
--- a/packages/gateway/internal/fleet_tracker.cpp
+++ b/packages/gateway/internal/fleet_tracker.cpp
@@ -4,6 +4,20 @@
 #include <utility>
 
 namespace poplarfront::gateway {
+namespace {
+
+/// Whether two registrations say the same. The end of the cold time is computed from what is left
+/// of it at arrival, so that it varies a little.
+bool is_same(const backend_entry& before, backend_entry after) {
+    constexpr auto tolerance = std::chrono::seconds{1};
+    if (after.cold_until - before.cold_until < tolerance &&
+        before.cold_until - after.cold_until < tolerance) {
+        after.cold_until = before.cold_until;
+    }
+    return before == after;
+}
+
+}  // namespace
 
 bool fleet_tracker::on_configuration(std::shared_ptr<const gateway_configuration> configuration) {
     if (configuration_ != nullptr && configuration->version <= configuration_->version) {
@@ -26,7 +40,7 @@
     auto& row = rows_[entry.id];
     row.revision = revision;
     row.remove_at.reset();
-    if (row.entry != nullptr && *row.entry == entry) {
+    if (row.entry != nullptr && is_same(*row.entry, entry)) {
         return;
     }
     row.entry = std::make_shared<const backend_entry>(std::move(entry));
@@ -40,6 +54,19 @@
     }
 }
 
+bool fleet_tracker::may_be_lapse(kernel::time_point now) {
+    removals_.push_back(now);
+    while (now - removals_.front() > options_.mass_removal_window) {
+        removals_.pop_front();
+    }
+    const auto in_use = static_cast<double>(std::count_if(
+        rows_.begin(), rows_.end(), [](const auto& it) { return it.second.entry != nullptr; }));
+    const auto removed = removals_.size();
+    const bool many = removed >= options_.mass_removal_least &&
+                      static_cast<double>(removed) >= options_.mass_removal_part * in_use;
+    return many || (last_trouble_ && now - *last_trouble_ < options_.trouble_memory);
+}
+
 void fleet_tracker::on_backend_removed(const model::server_id& id, std::uint64_t revision,
                                        kernel::time_point now) {
     if (!is_newer(id, revision)) {
@@ -47,8 +74,7 @@
     }
     auto& row = rows_[id];
     row.revision = revision;
-    const bool follows_trouble = last_trouble_ && now - *last_trouble_ < options_.trouble_memory;
-    if (row.entry != nullptr && row.entry->state == backend_state::ready && follows_trouble) {
+    if (row.entry != nullptr && row.entry->state == backend_state::ready && may_be_lapse(now)) {
         row.remove_at = now + options_.removal_grace;
         return;
     }
--- a/packages/gateway/tests/fleet_tracker_test.cpp
+++ b/packages/gateway/tests/fleet_tracker_test.cpp
@@ -74,6 +74,36 @@
     }
 }
 
+TEST_CASE("many removals at once are a lapse during an outage that was not seen") {
+    fleet_tracker tracker;
+    tracker.on_store_contact(true, start_time);
+    constexpr int count = 40;
+    for (int it = 0; it < count; ++it) {
+        tracker.on_backend(*backend("b" + std::to_string(it), "s"), 10);
+    }
+    for (int it = 0; it < count; ++it) {
+        tracker.on_backend_removed(model::server_id::trusted("b" + std::to_string(it)), 20,
+                                   start_time);
+    }
+    CHECK(backends(tracker) > 0.75 * count);
+    REQUIRE(tracker.next_timer());
+    CHECK(*tracker.next_timer() <= start_time + milliseconds{2400});
+    tracker.on_timer(*tracker.next_timer());
+    CHECK(backends(tracker) == 0);
+}
+
+TEST_CASE("a few removals in a large fleet take effect at once") {
+    fleet_tracker tracker;
+    for (int it = 0; it < 40; ++it) {
+        tracker.on_backend(*backend("b" + std::to_string(it), "s"), 10);
+    }
+    for (int it = 0; it < 5; ++it) {
+        tracker.on_backend_removed(model::server_id::trusted("b" + std::to_string(it)), 20,
+                                   start_time);
+    }
+    CHECK(backends(tracker) == 35);
+}
+
 TEST_CASE("what a listing does not name has been removed, unless news is newer than the listing") {
     fleet_tracker tracker;
     tracker.on_backend(*backend("a", "s"), 10);
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -44,7 +44,7 @@
             module->contexts_.push_back(std::move(shared));
         }
         publisher->on_published(
-            [contexts = module->contexts_] { drop_idle_connections(contexts); });
+            [contexts = module->contexts_] { take_over_view(contexts); });
         context.require<kernel::reload_handlers>()->add(
             [contexts = module->contexts_](const kernel::settings& next) {
                 for (const auto& it : contexts) {
@@ -114,21 +114,9 @@
             "gateway", [contexts = contexts_] { return dump(contexts); });
     }
 
-    /// Connections to backend servers that have left are of no use.
-    static void drop_idle_connections(const context_list& contexts) {
+    static void take_over_view(const context_list& contexts) {
         for (const auto& it : contexts) {
-            boost::asio::post(it->thread->context(), [it] {
-                const auto view = it->view->read();
-                std::set<model::server_id> known;
-                for (const auto& [service, backends] : view->backends) {
-                    for (const auto& backend : backends) {
-                        known.insert(backend->id);
-                    }
-                }
-                const auto keep = [&](const model::server_id& id) { return known.contains(id); };
-                it->pool.retain(keep);
-                it->state.replicas().retain(keep);
-            });
+            boost::asio::post(it->thread->context(), [it] { it->on_view_published(); });
         }
     }
 
--- a/packages/proxy/traffic_context.h
+++ b/packages/proxy/traffic_context.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <set>
 
 #include "gateway/fleet_view.h"
 #include "gateway/traffic_state.h"
@@ -34,8 +35,33 @@
     metrics::latency_histogram latencies;
     /// Answers by kind or status.
     metrics::counter_set answers;
+    /// Backend servers in use as of the last view that was taken over.
+    std::set<model::server_id> known_backends;
     std::atomic<bool> stopping = false;
     std::size_t open_requests = 0;
+
+    /// Takes over a new view: requests under way get no backend server that has left, and idle
+    /// connections to such are closed. Runs on the traffic thread.
+    void on_view_published() {
+        const auto now = kernel::time_point::clock::now();
+        const auto current = view->read();
+        std::set<model::server_id> known;
+        for (const auto& [service, backends] : current->backends) {
+            for (const auto& backend : backends) {
+                known.insert(backend->id);
+                if (!known_backends.contains(backend->id)) {
+                    state.replicas().clear_draining(backend->id);
+                }
+            }
+        }
+        for (const auto& id : known_backends) {
+            if (!known.contains(id)) {
+                state.replicas().mark_draining(id, now);
+            }
+        }
+        known_backends = std::move(known);
+        pool.retain([&](const model::server_id& id) { return known_backends.contains(id); });
+    }
 };
 
 }  // namespace poplarfront::proxy
--- a/packages/routing/replica_stats.h
+++ b/packages/routing/replica_stats.h
@@ -80,6 +80,13 @@
         rows_[server].draining_until = now + options_.drain_lifetime;
     }
 
+    /// Forgets such a notice: the backend server is in use again.
+    void clear_draining(const model::server_id& server) {
+        if (const auto it = rows_.find(server); it != rows_.end()) {
+            it->second.draining_until = {};
+        }
+    }
+
     [[nodiscard]] bool draining(const model::server_id& server, kernel::time_point now) const {
         const auto it = rows_.find(server);
         return it != rows_.end() && now < it->second.draining_until;
