Hedge later while latencies are unknown

Cause: after a restart of all instances 15 to 19 of 20 parts were sent twice, over new connections that hold a slot for 6 ms each.

--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -287,7 +287,8 @@
     }
 
     [[nodiscard]] kernel::duration straggling_after() {
-        constexpr int objective_part = 4;
+        // Until latencies are known, connections are new, and a second copy would need another one.
+        constexpr int objective_part = 2;
         const auto& options = state_.options();
         const auto delay = state_.statistics_of(route_).straggling_after(
             options.hedge_quantile, route_.objective / objective_part);
