Learn the fleet from other instances while the store is not reached

Cause: an instance that the store turns away kept its old view for up to 9 s (platform_down nodes), and one that starts meanwhile had none.

--- a/packages/daemon/peer_module.cpp
+++ b/packages/daemon/peer_module.cpp
@@ -13,7 +13,7 @@
 class peer_module {
 public:
     static kernel::module_descriptor descriptor() {
-        return {"peers", {"runtime", "instance"}, {}, {"search"}};
+        return {"peers", {"runtime", "instance"}, {}};
     }
 
     static kernel::result<std::shared_ptr<peer_module>> create(kernel::module_context& context) {
--- a/packages/wire/envelope.h
+++ b/packages/wire/envelope.h
@@ -22,6 +22,8 @@
     action_result = 5,
     membership = 6,
     configuration = 7,
+    fleet_request = 8,
+    fleet_reply = 9,
 };
 
 /// A message between instances.
