--- a/packages/daemon/peer_module.cpp
+++ b/packages/daemon/peer_module.cpp
@@ -12,9 +12,7 @@
 /// Provides the messages between instances. It starts before the modules that send.
 class peer_module {
 public:
-    static kernel::module_descriptor descriptor() {
-        return {"peers", {"runtime", "instance"}, {}};
-    }
+    static kernel::module_descriptor descriptor() { return {"peers", {"runtime", "instance"}, {}}; }
 
     static kernel::result<std::shared_ptr<peer_module>> create(kernel::module_context& context) {
         auto module = std::make_shared<peer_module>();
--- a/packages/gateway/news_log.h
+++ b/packages/gateway/news_log.h
@@ -9,8 +9,8 @@
 
 namespace poplarfront::gateway {
 
-/// What an instance has read from the store, kept so that instances which do not reach the store can
-/// learn it. Not thread-safe.
+/// What an instance has read from the store, kept so that instances which do not reach the store
+/// can learn it. Not thread-safe.
 class news_log {
 public:
     /// `max_deletions`: deletions that are remembered. Who knows less than these gets all keys.
--- a/packages/gateway/tests/request_session_test.cpp
+++ b/packages/gateway/tests/request_session_test.cpp
@@ -93,18 +93,33 @@
     for (std::size_t it = 0; it < 3; ++it) {
         run.end(it, success("part" + std::to_string(it)), milliseconds{10});
     }
-    run.run_timers(milliseconds{40});
+    run.run_timers(milliseconds{60});
     REQUIRE(run.transport.sent.size() == 5);
     CHECK(run.transport.sent[4].service == run.transport.sent[3].service);
     CHECK(run.transport.sent[4].server != run.transport.sent[3].server);
-    run.end(4, success("hedge"), milliseconds{50});
+    run.end(4, success("hedge"), milliseconds{70});
     REQUIRE(run.transport.answers.size() == 1);
     CHECK(run.transport.answers.front().missing == 0);
     // The late reply of the first attempt belongs to nobody.
-    run.end(3, success("late"), milliseconds{60});
+    run.end(3, success("late"), milliseconds{80});
     CHECK(run.transport.answers.size() == 1);
 }
 
+TEST_CASE("with known latencies a second copy is sent after a multiple of the median") {
+    const fleet fleet{1, 2};
+    traffic_state state{test_options(), 1};
+    for (int it = 0; it < 50; ++it) {
+        state.statistics_of(fleet.single).on_latency(milliseconds{10});
+    }
+    fake_transport transport;
+    session run{state, transport, fleet.published(), fleet.single, request()};
+    run.start(start_time);
+    run.on_timer(start_time + milliseconds{9});
+    CHECK(transport.sent.size() == 1);
+    run.on_timer(start_time + milliseconds{30});
+    CHECK(transport.sent.size() == 2);
+}
+
 TEST_CASE("no part is sent to more backend servers than the route allows") {
     const fleet fleet{1, 5};
     running_session run{fleet, fleet.single};
--- a/packages/logging/internal/log_output.cpp
+++ b/packages/logging/internal/log_output.cpp
@@ -100,8 +100,8 @@
         : descriptor_(descriptor),
           lines_(std::make_shared<shared_lines>(options)),
           previous_(spdlog::default_logger()) {
-        auto logger = std::make_shared<spdlog::logger>("poplarfront",
-                                                       std::make_shared<buffer_sink>(lines_));
+        auto logger =
+            std::make_shared<spdlog::logger>("poplarfront", std::make_shared<buffer_sink>(lines_));
         logger->set_level(previous_->level());
         spdlog::set_default_logger(std::move(logger));
         writer_ = std::thread{[this] { run(); }};
@@ -143,8 +143,8 @@
             if (::poll(&ready, 1, poll_ms) == 0) {
                 continue;
             }
-            const auto n = ::write(descriptor_, bytes.data(),
-                                   std::min<std::size_t>(bytes.size(), PIPE_BUF));
+            const auto n =
+                ::write(descriptor_, bytes.data(), std::min<std::size_t>(bytes.size(), PIPE_BUF));
             if (n < 0 && errno != EINTR && errno != EAGAIN) {
                 return;
             }
--- a/packages/metrics/internal/exposition.cpp
+++ b/packages/metrics/internal/exposition.cpp
@@ -65,8 +65,8 @@
                            const latency_snapshot& latency) {
     describe(name, help, "histogram");
     for (const auto edge : edges) {
-        text_ += fmt::format("{}_bucket{{le=\"{}\"}} {}\n", name, seconds(edge),
-                             at_most(latency, edge));
+        text_ +=
+            fmt::format("{}_bucket{{le=\"{}\"}} {}\n", name, seconds(edge), at_most(latency, edge));
     }
     text_ += fmt::format("{0}_bucket{{le=\"+Inf\"}} {1}\n{0}_sum {2}\n{0}_count {1}\n", name,
                          latency.total, seconds(latency.sum));
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -43,8 +43,7 @@
                 front_server<Protocol>::create(shared, server_options_from(settings)));
             module->contexts_.push_back(std::move(shared));
         }
-        publisher->on_published(
-            [contexts = module->contexts_] { take_over_view(contexts); });
+        publisher->on_published([contexts = module->contexts_] { take_over_view(contexts); });
         context.require<kernel::reload_handlers>()->add(
             [contexts = module->contexts_](const kernel::settings& next) {
                 for (const auto& it : contexts) {
