--- a/packages/runtime/http_client.h
+++ b/packages/runtime/http_client.h
@@ -33,8 +33,10 @@
     call_result call(const std::string& address, const http_request& request,
                      kernel::time_point deadline, std::size_t max_connections);
 
-    /// Breaks off all calls under way and refuses later ones, for a stop. Runs on the client's
-    /// thread.
+    /// Breaks off all calls under way; they end as if their connections were lost. Runs on the
+    /// client's thread.
+    void break_off();
+    /// As break_off, and refuses later calls, for a stop.
     void abort();
 
     [[nodiscard]] counters count() const;
--- a/packages/runtime/internal/http_client.cpp
+++ b/packages/runtime/internal/http_client.cpp
@@ -111,6 +111,10 @@
 
     void abort() {
         aborted_ = true;
+        break_off();
+    }
+
+    void break_off() {
         const auto streams = in_use_;
         for (auto* it : streams) {
             it->close();
@@ -240,6 +244,10 @@
     return implementation_->call(address, request, deadline, max_connections);
 }
 
+void http_client::break_off() {
+    implementation_->break_off();
+}
+
 void http_client::abort() {
     implementation_->abort();
 }
