Return a part of the slack over its window, and learn the way to the client

Cause: on grown deployments (122 instances, 0.3 requests a second each) answers due before the objective arrived 1 to 3 ms after it, because the way to the client and a small processor share take more than 10 ms, and hardly any hedge was in the budget.

--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -72,7 +72,7 @@
             return;
         }
         for (std::size_t it = 0; it < parts_.size(); ++it) {
-            budget_of(parts_[it]).on_primary(now);
+            budget_of(parts_[it], now).on_primary(now);
             send_first(it, now);
             if (answered_) {
                 return;
@@ -146,6 +146,10 @@
     }
 
     [[nodiscard]] bool answered() const { return answered_; }
+    /// When an incomplete gather is due; absent if the request was answered for another reason.
+    [[nodiscard]] std::optional<kernel::time_point> answered_when_due() const {
+        return answered_when_due_ ? std::optional{answer_at_} : std::nullopt;
+    }
     [[nodiscard]] bool is_gather() const { return plan() != nullptr; }
     [[nodiscard]] const client_request& request() const { return request_; }
     [[nodiscard]] const route& request_route() const { return route_; }
@@ -161,10 +165,10 @@
         auto& statistics = state_.statistics_of(route_);
         const auto patience =
             request_.patience > kernel::duration::zero() ? request_.patience : route_.timeout;
-        statistics.on_patience(patience);
+        statistics.on_patience(patience, route_.timeout);
         const auto spent = statistics.spent_before(patience);
         ends_at_ = request_.received + std::min(patience, route_.timeout) - options.end_margin;
-        auto left = route_.objective - spent - options.answer_margin;
+        auto left = route_.objective - spent - state_.answer_margin(statistics);
         if (left <= kernel::duration::zero()) {
             // The objective is missed in any case: what counts is a whole answer soon.
             left = route_.objective / 2;
@@ -193,8 +197,8 @@
         parts_.push_back(std::move(part));
     }
 
-    retry::retry_budget& budget_of(const shard_part& part) {
-        return state_.budget_of(part.service, view_->instances);
+    retry::retry_budget& budget_of(const shard_part& part, kernel::time_point now) {
+        return state_.budget_of(part.service, view_->instances, now);
     }
 
     // Sending
@@ -314,7 +318,7 @@
             return;
         }
         if (send(index, now) == send_outcome::sent) {
-            budget_of(part).try_take_reserved(now);
+            budget_of(part, now).try_take_reserved(now);
             ++summary_.hedges;
             state_.counters().add("hedge_sent");
             part.overdue_at.reset();
@@ -325,7 +329,7 @@
     /// if `at_risk` parts stay unanswered.
     [[nodiscard]] bool may_send_extra(const shard_part& part, std::size_t at_risk,
                                       kernel::time_point now) {
-        const auto& budget = budget_of(part);
+        const auto& budget = budget_of(part, now);
         const bool fails_without = parts_.size() - at_risk < needed_parts();
         return fails_without ? budget.available_reserved(now) : budget.available(now);
     }
@@ -531,7 +535,7 @@
         std::vector<std::size_t> affordable;
         for (std::size_t it = 0; it < parts_.size(); ++it) {
             if (parts_[it].state == part_state::refused &&
-                budget_of(parts_[it]).available_reserved(now)) {
+                budget_of(parts_[it], now).available_reserved(now)) {
                 affordable.push_back(it);
             }
         }
@@ -540,11 +544,11 @@
             return;
         }
         std::sort(affordable.begin(), affordable.end(), [&](auto a, auto b) {
-            return budget_of(parts_[a]).tokens() > budget_of(parts_[b]).tokens();
+            return budget_of(parts_[a], now).tokens() > budget_of(parts_[b], now).tokens();
         });
         std::size_t sent = 0;
         for (const auto it : affordable) {
-            if (sent >= needed && !budget_of(parts_[it]).filled(state_.options().plenty)) {
+            if (sent >= needed && !budget_of(parts_[it], now).filled(state_.options().plenty)) {
                 return;
             }
             parts_[it].state = part_state::open;
@@ -559,7 +563,7 @@
             case send_outcome::sent:
                 ++summary_.retries;
                 state_.counters().add("retry_sent");
-                budget_of(part).try_take_reserved(now);
+                budget_of(part, now).try_take_reserved(now);
                 return;
             case send_outcome::all_busy:
                 wait(index, now);
@@ -599,7 +603,9 @@
         if (answered_) {
             return;
         }
-        past_answer_time_ = past_answer_time_ || now >= answer_at_;
+        // The first evaluation past the time is the one that the timer brought.
+        const bool due_now = !past_answer_time_ && now >= answer_at_;
+        past_answer_time_ = past_answer_time_ || due_now;
         if (settle_at_ && now >= *settle_at_) {
             settle(now);
         }
@@ -608,6 +614,7 @@
         const bool settled = covered + lost == parts_.size();
         const bool enough = covered >= needed_parts();
         if (enough && ((settled && !settle_at_) || (is_gather() && past_answer_time_))) {
+            answered_when_due_ = !settled && due_now;
             succeed();
             return;
         }
@@ -740,6 +747,7 @@
     std::optional<kernel::time_point> settle_at_;
     std::optional<kernel::time_point> abandon_at_;
     bool past_answer_time_ = false;
+    bool answered_when_due_ = false;
     bool symptom_noted_ = false;
     bool answered_ = false;
     request_summary summary_;
--- a/packages/gateway/route_statistics.h
+++ b/packages/gateway/route_statistics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <optional>
 
 #include "kernel/concepts.h"
 #include "retry/latency_quantile.h"
@@ -10,9 +11,24 @@
 /// What was observed of the requests of one route. Not thread-safe.
 class route_statistics {
 public:
-    void on_patience(kernel::duration patience) {
+    /// Takes the patience of a request on the route. Most clients start with the time that the route
+    /// allows, less the time of connecting.
+    void on_patience(kernel::duration patience, kernel::duration route_timeout) {
+        if (patience <= route_timeout && route_timeout - patience <= longest_round_trip) {
+            longest_patience_ = std::max(longest_patience_, route_timeout);
+        }
         longest_patience_ = std::max(longest_patience_, patience);
+        const auto spent = longest_patience_ - patience;
+        // What is spent before a repeated attempt is longer than any round trip.
+        if (spent > kernel::duration::zero() && spent <= longest_round_trip) {
+            round_trip_ = std::min(round_trip_.value_or(spent), spent);
+        }
     }
+
+    /// The time that connecting takes from the client's patience, which is about one round trip;
+    /// absent until a request has come on a new connection.
+    [[nodiscard]] std::optional<kernel::duration> round_trip() const { return round_trip_; }
+
     void on_latency(kernel::duration latency) { latencies_.observe(latency); }
 
     /// How long before this attempt the client sent its first one: attempts after the first come
@@ -38,7 +54,10 @@
     }
 
 private:
+    static constexpr kernel::duration longest_round_trip = std::chrono::milliseconds{25};
+
     kernel::duration longest_patience_{};
+    std::optional<kernel::duration> round_trip_;
     retry::latency_quantile latencies_;
 };
 
--- a/packages/gateway/session_options.h
+++ b/packages/gateway/session_options.h
@@ -9,8 +9,8 @@
 
 /// Times and limits of the gateway's decisions. Durations are from the settings.
 struct session_options {
-    /// How long before the objective an incomplete gather is answered: the way back to the client
-    /// (1 ms each way) and the merge on a share of a core.
+    /// How long before the objective an incomplete gather is answered, until the way to the client and
+    /// the time of an answer are known.
     kernel::duration answer_margin = std::chrono::milliseconds{10};
     /// How long before the end of the client's patience the final answer is given.
     kernel::duration end_margin = std::chrono::milliseconds{4};
@@ -24,7 +24,12 @@
     /// Part of the slack that the instances divide among themselves; the rest is kept for instances
     /// that do not know of each other yet.
     double extra_slack_used = 0.7;
-    /// Part of an instance's share of the slack that it may use right after its start. All
+    /// Part of an instance's share of the slack that can be saved up. The rest returns over the
+    /// window, so that instances with few requests can hedge too.
+    double saved_part = 0.7;
+    /// The window of the slack.
+    kernel::duration extra_window = std::chrono::seconds{10};
+    /// Part of what can be saved up that an instance may use right after its start. All
     /// instances may restart within one window, and then both shares count.
     double initial_tokens = 0.4;
     /// Part of an instance's share of the slack that is kept for requests which would else fail.
--- a/packages/gateway/traffic_state.h
+++ b/packages/gateway/traffic_state.h
@@ -43,16 +43,39 @@
     wait_list<waiter>& waiting() { return waiting_; }
     kernel::seeded_random_source& random() { return random_; }
 
+    /// Takes the time from the moment at which a gather was due to be answered until its answer was
+    /// written: the lateness of timers, the merge, and waiting for the processor.
+    void on_answer_delay(kernel::duration delay) {
+        // Rises are learned faster, because a late answer loses more than an early one. Small
+        // instances answer few requests, so that each one has to count.
+        constexpr double rise_weight = 0.5;
+        constexpr double fall_weight = 0.1;
+        const double weight = delay > answer_delay_ ? rise_weight : fall_weight;
+        answer_delay_ += kernel::duration{static_cast<kernel::duration::rep>(
+            weight * static_cast<double>((delay - answer_delay_).count()))};
+    }
+
+    /// How long before its objective a gather has to be answered so that the client has the answer
+    /// in time.
+    [[nodiscard]] kernel::duration answer_margin(const route_statistics& statistics) const {
+        constexpr int most_margins = 4;
+        const auto way = statistics.round_trip();
+        return way ? std::min(*way + answer_delay_, options_.answer_margin * most_margins)
+                   : options_.answer_margin;
+    }
+
     route_statistics& statistics_of(const route& route) { return routes_[route.name]; }
 
     /// The budget of a service for extra requests, sized by the number of instances.
-    retry::retry_budget& budget_of(const model::service_id& service, std::uint32_t instances) {
-        const double burst = options_.extra_slack * options_.extra_slack_used / instances;
-        const auto it = budgets_.find(service);
+    retry::retry_budget& budget_of(const model::service_id& service, std::uint32_t instances,
+                                   kernel::time_point now) {
+        const auto shape = shape_for(instances);
+        auto it = budgets_.find(service);
         if (it == budgets_.end()) {
-            return budgets_.emplace(service, new_budget(burst)).first->second;
+            it = budgets_.emplace(service, new_budget(shape)).first;
         }
-        it->second.limit_burst(burst, burst * options_.reserved_part);
+        it->second.resize(shape.burst, shape.reserve, shape.refill_per_second);
+        it->second.refill(now);
         return it->second;
     }
 
@@ -86,13 +109,35 @@
         return options;
     }
 
-    [[nodiscard]] retry::retry_budget new_budget(double burst) const {
+    struct budget_shape {
+        double burst = 0;
+        double reserve = 0;
+        double refill_per_second = 0;
+    };
+
+    /// What is saved up and what returns within one window are together this instance's share of
+    /// the slack.
+    [[nodiscard]] budget_shape shape_for(std::uint32_t instances) const {
+        // Less than one token could never be spent.
+        constexpr double least_burst = 1.2;
+        const double share = options_.extra_slack * options_.extra_slack_used / instances;
+        const double saved = share * options_.saved_part;
+        const double burst = share > 0 ? std::max(least_burst, saved) : 0;
+        const double window = std::chrono::duration<double>(options_.extra_window).count();
+        return {burst, std::max(0.0, std::min(burst * options_.reserved_part, burst - 1)),
+                (share - saved) / window};
+    }
+
+    [[nodiscard]] retry::retry_budget new_budget(const budget_shape& shape) const {
         retry::retry_budget_options options;
         options.steady_ratio = options_.extra_ratio;
         options.fault_ratio = options_.extra_ratio;
-        options.burst = burst;
+        options.burst = shape.burst;
         options.initial_part = options_.initial_tokens;
-        options.reserve = burst * options_.reserved_part;
+        options.reserve = shape.reserve;
+        options.refill_per_second = shape.refill_per_second;
+        // Tokens return by the refill instead.
+        options.idle_refill = std::chrono::hours{24};
         return retry::retry_budget{options};
     }
 
@@ -103,6 +148,7 @@
     metrics::counter_set counters_;
     wait_list<waiter> waiting_;
     std::map<std::string, route_statistics, std::less<>> routes_;
+    kernel::duration answer_delay_ = std::chrono::milliseconds{7};
     std::map<model::service_id, retry::retry_budget> budgets_;
 };
 
--- a/packages/proxy/client_connection.h
+++ b/packages/proxy/client_connection.h
@@ -245,6 +245,9 @@
             shared_->answers.add(to_string(next->answer->kind));
             const bool written =
                 write(Protocol::answer_bytes(*next->answer, request.request().id, kept));
+            if (const auto due = request.answered_when_due()) {
+                shared_->state.on_answer_delay(now() - *due);
+            }
             log_answer(request.request(), request.request_route(), *next->answer, elapsed);
             return written && kept;
         }
--- a/packages/proxy/proxied_request.h
+++ b/packages/proxy/proxied_request.h
@@ -50,6 +50,9 @@
 
     [[nodiscard]] const gateway::client_request& request() const { return session_.request(); }
     [[nodiscard]] const gateway::route& request_route() const { return session_.request_route(); }
+    [[nodiscard]] std::optional<kernel::time_point> answered_when_due() const {
+        return session_.answered_when_due();
+    }
     [[nodiscard]] const gateway::request_summary& summary() const { return session_.summary(); }
 
 private:
--- a/packages/retry/retry_budget.h
+++ b/packages/retry/retry_budget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <optional>
 
 #include "kernel/concepts.h"
 
@@ -23,6 +24,8 @@
     /// Without traffic one token returns per interval, up to a single one, so that the query of a
     /// quiet instance can still be retried once.
     kernel::duration idle_refill = std::chrono::seconds{10};
+    /// Tokens that return each second, up to the burst, with or without traffic.
+    double refill_per_second = 0;
 };
 
 /// Token budget for hedges and retries: each primary earns a fraction of a token and each extra
@@ -32,13 +35,23 @@
     explicit retry_budget(retry_budget_options options = {})
         : options_(options), tokens_(options.burst * options.initial_part) {}
 
-    /// Changes the most tokens that can be saved up, and the reserve.
-    void limit_burst(double burst, double reserve) {
+    /// Changes the most tokens that can be saved up, the reserve, and the tokens each second.
+    void resize(double burst, double reserve, double refill_per_second) {
         options_.burst = burst;
         options_.reserve = reserve;
+        options_.refill_per_second = refill_per_second;
         tokens_ = std::min(tokens_, burst);
     }
 
+    /// Adds the tokens that are due to the time since the last call.
+    void refill(kernel::time_point now) {
+        if (refilled_at_) {
+            const double seconds = std::chrono::duration<double>(now - *refilled_at_).count();
+            tokens_ = std::min(options_.burst, tokens_ + seconds * options_.refill_per_second);
+        }
+        refilled_at_ = now;
+    }
+
     /// Counts a primary request.
     void on_primary(kernel::time_point now) {
         const double earned = observes_failures(now) ? options_.fault_ratio : options_.steady_ratio;
@@ -99,6 +112,7 @@
     double tokens_ = 0;
     kernel::time_point failing_until_ = kernel::time_point::min();
     kernel::time_point idle_token_at_ = kernel::time_point::max();
+    std::optional<kernel::time_point> refilled_at_;
 };
 
 }  // namespace poplarfront::retry
--- a/packages/retry/tests/retry_test.cpp
+++ b/packages/retry/tests/retry_test.cpp
@@ -80,5 +80,24 @@
     CHECK(policy.delay(40, random) != policy.delay(40, random));
 }
 
+TEST_CASE("tokens return with time, so that a quiet instance can hedge within its share") {
+    retry_budget_options options;
+    options.burst = 1.2;
+    options.initial_part = 0;
+    options.refill_per_second = 0.1;
+    options.idle_refill = std::chrono::hours{1};
+    retry_budget budget{options};
+    kernel::time_point now{std::chrono::seconds{100}};
+    int taken = 0;
+    budget.refill(now);
+    for (int it = 0; it < 1000; ++it) {
+        now += std::chrono::milliseconds{100};
+        budget.refill(now);
+        taken += budget.try_take(now) ? 1 : 0;
+    }
+    CHECK(taken >= 9);
+    CHECK(taken <= 11);
+}
+
 }  // namespace
 }  // namespace poplarfront::retry
