--- a/packages/gateway/fleet_tracker.h
+++ b/packages/gateway/fleet_tracker.h
@@ -16,7 +16,7 @@
     /// After an outage of the store, backend servers whose registrations lapsed meanwhile register
     /// again within about 2 s; until then a removal is not believed. It has to end, with the time
     /// that news take, within the time in which a backend server that leaves is left alone.
-    kernel::duration removal_grace = std::chrono::milliseconds{2100};
+    kernel::duration removal_grace = std::chrono::milliseconds{2000};
     /// How long after trouble with the store a removal counts as a consequence of it.
     kernel::duration trouble_memory = std::chrono::seconds{4};
     /// An outage that an instance did not see shows in many removals at once: this part of all
