Ignore registrations that were written before what is known

The store may do a write seconds after its answer was lost, so that an old heartbeat brings a removed registration back.

--- a/packages/gateway/backend_entry.h
+++ b/packages/gateway/backend_entry.h
@@ -26,6 +26,8 @@
     /// When its process started, in ms since the epoch; 0 if unknown. A backend server that starts
     /// again under the same id has a later one.
     std::int64_t started_ms = 0;
+    /// Rises with each write of the registration by one process; 0 if unknown.
+    std::int64_t sequence = 0;
     friend auto operator<=>(const backend_entry&, const backend_entry&) = default;
 };
 
--- a/packages/gateway/fleet_tracker.h
+++ b/packages/gateway/fleet_tracker.h
@@ -80,12 +80,18 @@
         /// Null for a registration that names no backend server to use, or a removed one.
         std::shared_ptr<const backend_entry> entry;
         std::uint64_t revision = 0;
+        /// Of the newest registration so far; they outlive its removal.
+        std::int64_t started_ms = 0;
+        std::int64_t sequence = 0;
         /// When a removal that follows an outage takes effect.
         std::optional<kernel::time_point> remove_at;
     };
 
     /// Whether a removal at `now` is one of many, or follows trouble with the store.
     bool may_be_lapse(kernel::time_point now);
+    /// Whether a registration was written before one that is known: a write whose answer was lost
+    /// may be done seconds later, after the removal of the registration.
+    static bool is_outdated(const row& row, const backend_entry& entry);
     bool is_newer(const model::server_id& id, std::uint64_t revision) const;
 
     fleet_options options_;
--- a/packages/gateway/internal/fleet_tracker.cpp
+++ b/packages/gateway/internal/fleet_tracker.cpp
@@ -14,6 +14,7 @@
         before.cold_until - after.cold_until < tolerance) {
         after.cold_until = before.cold_until;
     }
+    after.sequence = before.sequence;
     return before == after;
 }
 
@@ -33,12 +34,26 @@
     return it == rows_.end() || revision > it->second.revision;
 }
 
+bool fleet_tracker::is_outdated(const row& row, const backend_entry& entry) {
+    if (entry.started_ms != row.started_ms) {
+        return entry.started_ms < row.started_ms;
+    }
+    const bool removed = row.entry == nullptr || row.remove_at.has_value();
+    return entry.sequence < row.sequence ||
+           (removed && entry.sequence > 0 && entry.sequence == row.sequence);
+}
+
 void fleet_tracker::on_backend(backend_entry entry, std::uint64_t revision) {
     if (!is_newer(entry.id, revision)) {
         return;
     }
     auto& row = rows_[entry.id];
     row.revision = revision;
+    if (is_outdated(row, entry)) {
+        return;
+    }
+    row.started_ms = entry.started_ms;
+    row.sequence = entry.sequence;
     row.remove_at.reset();
     if (row.entry != nullptr && is_same(*row.entry, entry)) {
         return;
@@ -49,7 +64,10 @@
 
 void fleet_tracker::on_unusable_backend(const model::server_id& id, std::uint64_t revision) {
     if (is_newer(id, revision)) {
-        rows_[id] = row{nullptr, revision, std::nullopt};
+        auto& row = rows_[id];
+        row.entry = nullptr;
+        row.revision = revision;
+        row.remove_at.reset();
         changed_ = true;
     }
 }
--- a/packages/gateway/tests/fleet_tracker_test.cpp
+++ b/packages/gateway/tests/fleet_tracker_test.cpp
@@ -37,6 +37,32 @@
     CHECK(backends(tracker) == 1);
 }
 
+TEST_CASE("a registration that was written before the removal and done after it is not believed") {
+    fleet_tracker tracker;
+    auto entry = *backend("a", "s");
+    entry.started_ms = 1000;
+    entry.sequence = 7;
+    tracker.on_backend(entry, 10);
+    tracker.on_backend_removed(id, 20, start_time);
+    entry.sequence = 6;
+    tracker.on_backend(entry, 21);
+    CHECK(backends(tracker) == 0);
+    entry.sequence = 7;
+    tracker.on_backend(entry, 22);
+    CHECK(backends(tracker) == 0);
+    SECTION("the backend server registers again") {
+        entry.sequence = 8;
+        tracker.on_backend(entry, 23);
+        CHECK(backends(tracker) == 1);
+    }
+    SECTION("it starts again under its id") {
+        entry.started_ms = 2000;
+        entry.sequence = 1;
+        tracker.on_backend(entry, 23);
+        CHECK(backends(tracker) == 1);
+    }
+}
+
 TEST_CASE("a draining backend server gets no new requests") {
     fleet_tracker tracker;
     auto draining = *backend("a", "s");
