--- a/packages/gateway/route_statistics.h
+++ b/packages/gateway/route_statistics.h
@@ -11,8 +11,8 @@
 /// What was observed of the requests of one route. Not thread-safe.
 class route_statistics {
 public:
-    /// Takes the patience of a request on the route. Most clients start with the time that the route
-    /// allows, less the time of connecting.
+    /// Takes the patience of a request on the route. Most clients start with the time that the
+    /// route allows, less the time of connecting.
     void on_patience(kernel::duration patience, kernel::duration route_timeout) {
         if (patience <= route_timeout && route_timeout - patience <= longest_round_trip) {
             longest_patience_ = std::max(longest_patience_, route_timeout);
--- a/packages/gateway/session_options.h
+++ b/packages/gateway/session_options.h
@@ -9,8 +9,8 @@
 
 /// Times and limits of the gateway's decisions. Durations are from the settings.
 struct session_options {
-    /// How long before the objective an incomplete gather is answered, until the way to the client and
-    /// the time of an answer are known.
+    /// How long before the objective an incomplete gather is answered, until the way to the client
+    /// and the time of an answer are known.
     kernel::duration answer_margin = std::chrono::milliseconds{10};
     /// How long before the end of the client's patience the final answer is given.
     kernel::duration end_margin = std::chrono::milliseconds{4};
--- a/packages/logging/tests/logging_test.cpp
+++ b/packages/logging/tests/logging_test.cpp
@@ -39,7 +39,7 @@
     REQUIRE(pipe(pipe_ends.data()) == 0);
     const auto began = std::chrono::steady_clock::now();
     {
-        const auto output = log_output::create(pipe_ends[1], {1'000'000, 64 * 1024});
+        const auto output = log_output::create(pipe_ends[1], {1'000'000, std::size_t{64} * 1024});
         const std::string text(1000, 'x');
         for (int it = 0; it < 5000; ++it) {
             spdlog::info(text);
