--- a/packages/gateway/gateway_answer.h
+++ b/packages/gateway/gateway_answer.h
@@ -22,8 +22,6 @@
     failed,
     /// As failed, at the end of the time that the client waits.
     timed_out,
-    /// No route fits the request.
-    no_route,
 };
 
 [[nodiscard]] constexpr std::string_view to_string(answer_kind kind) {
@@ -38,8 +36,6 @@
             return "failed";
         case answer_kind::timed_out:
             return "timed_out";
-        case answer_kind::no_route:
-            return "no_route";
     }
     return "unknown";
 }
--- a/packages/gateway/news_log.h
+++ b/packages/gateway/news_log.h
@@ -21,6 +21,9 @@
     /// All changes up to this revision are known; 0 if nothing is.
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
+    /// The keys that exist, by name.
+    [[nodiscard]] const std::map<std::string, store_change>& existing() const { return existing_; }
+
     /// What an instance that knows all changes up to `after` lacks.
     [[nodiscard]] store_news since(std::uint64_t after) const;
 
--- a/packages/proxy/backend_pool.h
+++ b/packages/proxy/backend_pool.h
@@ -8,7 +8,6 @@
 #include <boost/beast/http/read.hpp>
 #include <cerrno>
 #include <charconv>
-#include <list>
 #include <map>
 #include <memory>
 #include <set>
