Hand gathers over to much larger instances

On the grown deployments most instances have 0.084 cores and a 17 Mbit/s link: a gather of 90 parts takes them 95 ms of wall time, against objectives of 50 ms to 150 ms, and the 122 instances cannot each keep a connection to each backend server. Instances with twice the median capacity or more now gather for the others, which hand the request over by a message and fall back to gathering themselves. Orders are confirmed before a gatherer uses more than one attempt, so that two of them stay within the route's attempts.

--- a/packages/daemon/internal/peer_link.cpp
+++ b/packages/daemon/internal/peer_link.cpp
@@ -33,6 +33,12 @@
     }
 }
 
+void peer_link::renew(const std::string& address) {
+    if (const auto endpoint = endpoint_.load()) {
+        endpoint->renew(address);
+    }
+}
+
 runtime::peer_endpoint::counters peer_link::transport_count() const {
     const auto endpoint = endpoint_.load();
     return endpoint ? endpoint->count() : runtime::peer_endpoint::counters{};
--- a/packages/daemon/peer_link.h
+++ b/packages/daemon/peer_link.h
@@ -15,7 +15,7 @@
 
 /// Messages to and from other instances, by kind.
 ///
-/// Thread safety: `on` is called while modules are created; `send` may be called from any thread.
+/// Thread safety: `on` is called while modules are created; `send` and `renew` may be called from any thread.
 /// Handlers run on the first traffic thread and must not suspend.
 class peer_link {
 public:
@@ -47,6 +47,9 @@
     void send(const std::string& address, wire::message_kind kind, model::incarnation incarnation,
               std::string payload);
 
+    /// Opens a new connection to the instance at IP:PORT with the next message.
+    void renew(const std::string& address);
+
     [[nodiscard]] counters count() const { return {refused_, stale_}; }
     [[nodiscard]] runtime::peer_endpoint::counters transport_count() const;
 
--- a/packages/gateway/fleet_tracker.h
+++ b/packages/gateway/fleet_tracker.h
@@ -13,6 +13,7 @@
 namespace poplarfront::gateway {
 
 struct fleet_options {
+    std::string own_name;
     /// After an outage of the store, backend servers whose registrations lapsed meanwhile register
     /// again within about 2 s; until then a removal is not believed. It has to end, with the time
     /// that news take, within the time in which a backend server that leaves is left alone.
@@ -56,11 +57,9 @@
                             kernel::time_point now);
 
     /// Take the registrations of instances.
-    void on_instance(const std::string& name) {
-        const auto [it, is_new] = instances_.insert_or_assign(name, std::nullopt);
-        changed_ = changed_ || is_new;
-    }
+    void on_instance(const registered_instance& instance);
     void on_instance_removed(const std::string& name, kernel::time_point now);
+    /// Takes a complete listing: instances that it does not name have been removed.
     void on_instances_listed(const std::set<std::string>& names, kernel::time_point now);
 
     /// Takes the result of a store call.
@@ -87,6 +86,12 @@
         std::optional<kernel::time_point> remove_at;
     };
 
+    struct instance_row {
+        registered_instance instance;
+        std::optional<kernel::time_point> removed_at;
+    };
+
+    void choose_gatherers_for(fleet_view& view) const;
     /// Whether a removal at `now` is one of many, or follows trouble with the store.
     bool may_be_lapse(kernel::time_point now);
     /// Whether a registration was written before one that is known: a write whose answer was lost
@@ -97,8 +102,8 @@
     fleet_options options_;
     std::shared_ptr<const gateway_configuration> configuration_;
     std::map<model::server_id, row> rows_;
-    /// With the time of removal.
-    std::map<std::string, std::optional<kernel::time_point>> instances_;
+    std::shared_ptr<const std::set<model::service_id>> shards_;
+    std::map<std::string, instance_row> instances_;
     bool current_ = false;
     std::optional<kernel::time_point> last_trouble_;
     /// The times of removals in the window.
--- a/packages/gateway/gateway_answer.h
+++ b/packages/gateway/gateway_answer.h
@@ -52,6 +52,8 @@
     std::uint32_t over_budget = 0;
     /// The last failure of an attempt, with the backend server.
     std::string last_failure;
+    /// The instance that gathered; empty if the client's instance did.
+    std::string gatherer;
     friend auto operator<=>(const request_summary&, const request_summary&) = default;
 };
 
@@ -67,8 +69,9 @@
     /// Of not_run: when the client may come again.
     kernel::duration retry_after{};
     /// Why, in words for the log and the body of a failure.
-    std::string_view reason;
+    std::string reason;
     request_summary summary;
+    friend auto operator<=>(const gateway_answer&, const gateway_answer&) = default;
 };
 
 }  // namespace poplarfront::gateway
--- a/packages/gateway/internal/fleet_tracker.cpp
+++ b/packages/gateway/internal/fleet_tracker.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/gatherer_choice.h"
+
 namespace poplarfront::gateway {
 namespace {
 
@@ -18,6 +20,19 @@
     return before == after;
 }
 
+std::set<model::service_id> shards_of(const gateway_configuration& configuration) {
+    std::set<model::service_id> shards;
+    // Routes often share their list of shards.
+    std::set<const void*> seen;
+    for (const auto& route : configuration.routes) {
+        const auto* plan = std::get_if<gather_plan>(&route.target);
+        if (plan != nullptr && seen.insert(plan->shards.get()).second) {
+            shards.insert(plan->shards->begin(), plan->shards->end());
+        }
+    }
+    return shards;
+}
+
 }  // namespace
 
 bool fleet_tracker::on_configuration(std::shared_ptr<const gateway_configuration> configuration) {
@@ -25,6 +40,7 @@
         return false;
     }
     configuration_ = std::move(configuration);
+    shards_ = std::make_shared<const std::set<model::service_id>>(shards_of(*configuration_));
     changed_ = true;
     return true;
 }
@@ -142,28 +158,48 @@
     }
 }
 
+void fleet_tracker::on_instance(const registered_instance& instance) {
+    auto& row = instances_[instance.name];
+    changed_ = changed_ || row.removed_at || row.instance != instance;
+    row = {instance, std::nullopt};
+}
+
 void fleet_tracker::on_instance_removed(const std::string& name, kernel::time_point now) {
-    if (const auto it = instances_.find(name); it != instances_.end() && !it->second) {
-        it->second = now;
+    if (const auto it = instances_.find(name); it != instances_.end() && !it->second.removed_at) {
+        it->second.removed_at = now;
+        changed_ = true;
     }
 }
 
 void fleet_tracker::on_instances_listed(const std::set<std::string>& names,
                                         kernel::time_point now) {
-    for (const auto& [name, removed_at] : instances_) {
+    for (const auto& [name, row] : instances_) {
         if (!names.contains(name)) {
             on_instance_removed(name, now);
         }
     }
-    for (const auto& name : names) {
-        on_instance(name);
+}
+
+void fleet_tracker::choose_gatherers_for(fleet_view& view) const {
+    std::vector<registered_instance> all;
+    for (const auto& [name, row] : instances_) {
+        all.push_back(row.instance);
+    }
+    auto choice = choose_gatherers(options_.own_name, all);
+    view.shard_share = choice.share;
+    view.shards = shards_;
+    if (!choice.is_gatherer) {
+        std::erase_if(choice.gatherers, [this](const auto& it) {
+            return instances_.at(it.name).removed_at.has_value();
+        });
+        view.gatherers = std::move(choice.gatherers);
     }
 }
 
 fleet_view fleet_tracker::take_view(kernel::time_point now) {
     changed_ = false;
     std::erase_if(instances_, [&](const auto& it) {
-        return it.second && now - *it.second > options_.instance_memory;
+        return it.second.removed_at && now - *it.second.removed_at > options_.instance_memory;
     });
     fleet_view view;
     view.configuration = configuration_;
@@ -177,6 +213,7 @@
     }
     view.instances = static_cast<std::uint32_t>(std::max<std::size_t>(1, instances_.size()));
     view.current = current_;
+    choose_gatherers_for(view);
     return view;
 }
 
--- a/packages/gateway/reader_choice.h
+++ b/packages/gateway/reader_choice.h
@@ -1,20 +1,12 @@
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <string>
 #include <vector>
 
-namespace poplarfront::gateway {
+#include "gateway/registered_instance.h"
 
-/// An instance as its registration describes it.
-struct registered_instance {
-    std::string name;
-    /// IP:PORT for messages of other instances.
-    std::string address;
-    std::string data_centre;
-    friend auto operator<=>(const registered_instance&, const registered_instance&) = default;
-};
+namespace poplarfront::gateway {
 
 /// The instances of a data centre that read the store for all others of it, at most `count`. All
 /// instances that know the same registrations choose the same ones. Thread-safe.
--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -47,23 +47,29 @@
 template <session_transport Transport>
 class request_session {
 public:
+    /// `terms`: what to keep to, for a request of another instance's client.
     /// Precondition: `view` has a configuration, and `route` is one of it. `state` and `transport`
     /// outlive the session.
     request_session(traffic_state& state, Transport& transport,
                     std::shared_ptr<const fleet_view> view, const route& route,
-                    client_request request)
+                    client_request request, std::optional<session_terms> terms = std::nullopt)
         : state_(state),
           transport_(transport),
           view_(std::move(view)),
           route_(route),
-          request_(std::move(request)) {}
+          request_(std::move(request)),
+          given_terms_(terms) {}
 
     ~request_session() { leave_wait_lists(); }
     request_session(const request_session&) = delete;
     request_session& operator=(const request_session&) = delete;
 
     void start(kernel::time_point now) {
-        set_times();
+        terms_ = given_terms_ ? *given_terms_
+                              : state_.terms_of(route_, request_, gather_place::here);
+        if (most_attempts_) {
+            terms_.max_attempts = *most_attempts_;
+        }
         choose_parts();
         summary_.configuration_version = view_->configuration->version;
         summary_.shards = static_cast<std::uint32_t>(parts_.size());
@@ -81,6 +87,12 @@
         evaluate(now);
     }
 
+    /// Sets how many backend servers may get the request, for each shard.
+    void set_max_attempts(std::uint32_t attempts) {
+        most_attempts_ = attempts;
+        terms_.max_attempts = attempts;
+    }
+
     void on_result(attempt_number number, attempt_result result, kernel::time_point now) {
         auto& attempt = attempts_.at(number);
         if (!attempt.open) {
@@ -114,9 +126,9 @@
         if (answered_) {
             return abandon_at_;
         }
-        auto next = ends_at_;
+        auto next = terms_.ends_at;
         if (is_gather() && !past_answer_time_) {
-            next = std::min(next, answer_at_);
+            next = std::min(next, terms_.answer_at);
         }
         if (refuse_at_) {
             next = std::min(next, *refuse_at_);
@@ -148,7 +160,7 @@
     [[nodiscard]] bool answered() const { return answered_; }
     /// When an incomplete gather is due; absent if the request was answered for another reason.
     [[nodiscard]] std::optional<kernel::time_point> answered_when_due() const {
-        return answered_when_due_ ? std::optional{answer_at_} : std::nullopt;
+        return answered_when_due_ ? std::optional{terms_.answer_at} : std::nullopt;
     }
     [[nodiscard]] bool is_gather() const { return plan() != nullptr; }
     [[nodiscard]] const client_request& request() const { return request_; }
@@ -160,22 +172,6 @@
         return std::get_if<gather_plan>(&route_.target);
     }
 
-    void set_times() {
-        const auto& options = state_.options();
-        auto& statistics = state_.statistics_of(route_);
-        const auto patience =
-            request_.patience > kernel::duration::zero() ? request_.patience : route_.timeout;
-        statistics.on_patience(patience, route_.timeout);
-        const auto spent = statistics.spent_before(patience);
-        ends_at_ = request_.received + std::min(patience, route_.timeout) - options.end_margin;
-        auto left = route_.objective - spent - state_.answer_margin(statistics);
-        if (left <= kernel::duration::zero()) {
-            // The objective is missed in any case: what counts is a whole answer soon.
-            left = route_.objective / 2;
-        }
-        answer_at_ = std::min(request_.received + left, ends_at_);
-    }
-
     void choose_parts() {
         if (const auto* gather = plan()) {
             for (const auto& service : *gather->shards) {
@@ -198,7 +194,7 @@
     }
 
     retry::retry_budget& budget_of(const shard_part& part, kernel::time_point now) {
-        return state_.budget_of(part.service, view_->instances, now);
+        return state_.budget_of(part.service, *view_, now);
     }
 
     // Sending
@@ -220,7 +216,7 @@
 
     /// Sends the request to a backend server of the part that has not had it.
     send_outcome send(std::size_t index, kernel::time_point now) {
-        if (parts_[index].tried.size() >= route_.max_attempts) {
+        if (parts_[index].tried.size() >= terms_.max_attempts) {
             return send_outcome::none_left;
         }
         return send_among(index, now, [&](const backend_entry& backend) {
@@ -287,7 +283,7 @@
         const auto number = static_cast<attempt_number>(attempts_.size());
         attempts_.push_back({index, backend, now, true});
         state_.replicas().on_sent(backend->id);
-        transport_.send(number, *backend, ends_at_);
+        transport_.send(number, *backend, terms_.ends_at);
     }
 
     [[nodiscard]] kernel::duration straggling_after() {
@@ -308,7 +304,7 @@
         }
         note_overdue(index, now);
         const auto typical = state_.statistics_of(route_).typical(kernel::duration::zero());
-        const bool too_late = is_gather() && coverage_suffices() && now + typical > answer_at_;
+        const bool too_late = is_gather() && coverage_suffices() && now + typical > terms_.answer_at;
         if (route_.kind != repetition::safe || too_late) {
             return;
         }
@@ -370,7 +366,7 @@
         const auto room = part.backends->size() * state_.concurrency(*view_, part.service);
         const auto rounds =
             static_cast<kernel::duration::rep>(ahead / std::max<std::size_t>(1, room));
-        return now + typical * (rounds + 2) > ends_at_;
+        return now + typical * (rounds + 2) > terms_.ends_at;
     }
 
     void on_room(std::size_t index, kernel::time_point now) {
@@ -381,7 +377,7 @@
             return;
         }
         refuse_at_.reset();
-        if (now >= ends_at_) {
+        if (now >= terms_.ends_at) {
             return;
         }
         send_first(index, now);
@@ -521,8 +517,8 @@
     [[nodiscard]] bool may_retry(const shard_part& part) const {
         // Refusals are no attempts, but a service that is full is not asked without end.
         constexpr std::uint32_t sends_per_attempt = 2;
-        return part.sends - part.not_run < route_.max_attempts &&
-               part.sends < route_.max_attempts * sends_per_attempt &&
+        return part.sends - part.not_run < terms_.max_attempts &&
+               part.sends < terms_.max_attempts * sends_per_attempt &&
                (route_.kind == repetition::safe || !part.may_have_run);
     }
 
@@ -604,7 +600,7 @@
             return;
         }
         // The first evaluation past the time is the one that the timer brought.
-        const bool due_now = !past_answer_time_ && now >= answer_at_;
+        const bool due_now = !past_answer_time_ && now >= terms_.answer_at;
         past_answer_time_ = past_answer_time_ || due_now;
         if (settle_at_ && now >= *settle_at_) {
             settle(now);
@@ -622,7 +618,7 @@
             fail();
             return;
         }
-        if (now >= ends_at_) {
+        if (now >= terms_.ends_at) {
             end_in_time();
             return;
         }
@@ -741,8 +737,9 @@
     client_request request_;
     std::vector<shard_part> parts_;
     std::vector<backend_attempt> attempts_;
-    kernel::time_point ends_at_;
-    kernel::time_point answer_at_;
+    std::optional<session_terms> given_terms_;
+    session_terms terms_;
+    std::optional<std::uint32_t> most_attempts_;
     std::optional<kernel::time_point> refuse_at_;
     std::optional<kernel::time_point> settle_at_;
     std::optional<kernel::time_point> abandon_at_;
--- a/packages/gateway/session_options.h
+++ b/packages/gateway/session_options.h
@@ -54,6 +54,11 @@
     /// Range of the time after which a client may come again.
     kernel::duration shortest_retry_after = std::chrono::milliseconds{50};
     kernel::duration longest_retry_after = std::chrono::milliseconds{250};
+    /// How much later than expected a report of a gatherer may arrive, at least. It is several
+    /// times the way between data centres and a turn of a busy processor.
+    kernel::duration shortest_report_slack = std::chrono::milliseconds{15};
+    /// Gathers for other instances that an instance has under way at most.
+    std::size_t max_orders = 32;
     /// Name of the data centre of this instance.
     std::string data_centre;
 };
--- a/packages/gateway/tests/fleet_tracker_test.cpp
+++ b/packages/gateway/tests/fleet_tracker_test.cpp
@@ -150,8 +150,8 @@
 
 TEST_CASE("an instance whose registration lapsed still counts for a while") {
     fleet_tracker tracker;
-    tracker.on_instance("one");
-    tracker.on_instance("two");
+    tracker.on_instance({"one", "10.0.0.1:1", "a", 1});
+    tracker.on_instance({"two", "10.0.0.2:1", "a", 1});
     tracker.on_instance_removed("two", start_time);
     CHECK(tracker.take_view(start_time + std::chrono::seconds{30}).instances == 2);
     CHECK(tracker.take_view(start_time + std::chrono::seconds{90}).instances == 1);
--- a/packages/gateway/tests/values_test.cpp
+++ b/packages/gateway/tests/values_test.cpp
@@ -66,20 +66,20 @@
 TEST_CASE("a gather leaves time for the way to the client and for a slow processor") {
     traffic_state state{test_options(), 1};
     route_statistics statistics;
-    CHECK(state.answer_margin(statistics) == milliseconds{10});
+    CHECK(state.answer_margin(statistics, gather_place::here) == milliseconds{10});
     // All clients of an instance may come on new connections.
     statistics.on_patience(milliseconds{393}, milliseconds{400});
     // A repeated attempt says nothing of the way.
     statistics.on_patience(milliseconds{200}, milliseconds{400});
     for (int it = 0; it < 10; ++it) {
-        state.on_answer_delay(milliseconds{12});
+        state.on_answer_delay(milliseconds{12}, gather_place::here);
     }
-    CHECK(state.answer_margin(statistics) >= milliseconds{18});
-    CHECK(state.answer_margin(statistics) <= milliseconds{19});
+    CHECK(state.answer_margin(statistics, gather_place::here) >= milliseconds{18});
+    CHECK(state.answer_margin(statistics, gather_place::here) <= milliseconds{19});
     for (int it = 0; it < 50; ++it) {
-        state.on_answer_delay(milliseconds{2});
+        state.on_answer_delay(milliseconds{2}, gather_place::here);
     }
-    CHECK(state.answer_margin(statistics) == milliseconds{10});
+    CHECK(state.answer_margin(statistics, gather_place::here) == milliseconds{10});
 }
 
 }  // namespace
--- a/packages/gateway/traffic_state.h
+++ b/packages/gateway/traffic_state.h
@@ -5,12 +5,15 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
 #include "gateway/fleet_view.h"
 #include "gateway/route_statistics.h"
 #include "gateway/session_options.h"
+#include "gateway/session_terms.h"
+#include "gateway/client_request.h"
 #include "gateway/wait_list.h"
 #include "kernel/sources.h"
 #include "metrics/counter_set.h"
@@ -28,14 +31,22 @@
     /// Called when a waiting request may try again; the argument is the time.
     using waiter = std::function<void(kernel::time_point)>;
 
-    traffic_state(session_options options, std::uint64_t seed)
-        : options_(std::move(options)), random_(seed), quarantine_(quarantine_options()) {}
+    /// `started`: budgets fill from then on, whenever they are first used.
+    traffic_state(session_options options, std::uint64_t seed,
+                  std::optional<kernel::time_point> started = std::nullopt)
+        : options_(std::move(options)),
+          random_(seed),
+          started_(started),
+          quarantine_(quarantine_options()) {}
 
     [[nodiscard]] const session_options& options() const { return options_; }
     /// Sets options for decisions from now on.
     void set_options(session_options options) {
+        if (options.extra_ratio != options_.extra_ratio) {
+            budgets_.clear();
+            started_.reset();
+        }
         options_ = std::move(options);
-        budgets_.clear();
     }
     routing::replica_stats& replicas() { return replicas_; }
     routing::crash_quarantine& quarantine() { return quarantine_; }
@@ -44,37 +55,60 @@
     kernel::seeded_random_source& random() { return random_; }
 
     /// Takes the time from the moment at which a gather was due to be answered until its answer was
-    /// written: the lateness of timers, the merge, and waiting for the processor.
-    void on_answer_delay(kernel::duration delay) {
+    /// written: the lateness of timers, the merge, waiting for the processor, and the way from a
+    /// gatherer.
+    void on_answer_delay(kernel::duration delay, gather_place place) {
         // Rises are learned faster, because a late answer loses more than an early one. Small
         // instances answer few requests, so that each one has to count.
         constexpr double rise_weight = 0.5;
         constexpr double fall_weight = 0.1;
-        const double weight = delay > answer_delay_ ? rise_weight : fall_weight;
-        answer_delay_ += kernel::duration{static_cast<kernel::duration::rep>(
-            weight * static_cast<double>((delay - answer_delay_).count()))};
+        auto& learned = delay_of(place);
+        const double weight = delay > learned ? rise_weight : fall_weight;
+        learned += kernel::duration{static_cast<kernel::duration::rep>(
+            weight * static_cast<double>((delay - learned).count()))};
     }
 
     /// How long before its objective a gather has to be answered so that the client has the answer
     /// in time.
-    [[nodiscard]] kernel::duration answer_margin(const route_statistics& statistics) const {
+    [[nodiscard]] kernel::duration answer_margin(const route_statistics& statistics,
+                                                 gather_place place) {
         constexpr int most_margins = 4;
         const auto way = statistics.round_trip();
         // Less than the setting is not taken: what a request waits before it is read is not seen.
-        return way ? std::clamp(*way + answer_delay_, options_.answer_margin,
+        return way ? std::clamp(*way + delay_of(place), options_.answer_margin,
                                 options_.answer_margin * most_margins)
                    : options_.answer_margin;
     }
 
+    /// What is kept to for a request of a client. It learns from the patience of the request.
+    session_terms terms_of(const route& route, const client_request& request, gather_place place) {
+        auto& statistics = statistics_of(route);
+        const auto patience =
+            request.patience > kernel::duration::zero() ? request.patience : route.timeout;
+        statistics.on_patience(patience, route.timeout);
+        const auto spent = statistics.spent_before(patience);
+        session_terms terms;
+        terms.max_attempts = route.max_attempts;
+        terms.ends_at = request.received + std::min(patience, route.timeout) - options_.end_margin;
+        auto left = route.objective - spent - answer_margin(statistics, place);
+        if (left <= kernel::duration::zero()) {
+            // The objective is missed in any case: what counts is a whole answer soon.
+            left = route.objective / 2;
+        }
+        terms.answer_at = std::min(request.received + left, terms.ends_at);
+        return terms;
+    }
+
     route_statistics& statistics_of(const route& route) { return routes_[route.name]; }
 
-    /// The budget of a service for extra requests, sized by the number of instances.
-    retry::retry_budget& budget_of(const model::service_id& service, std::uint32_t instances,
+    /// The budget of a service for extra requests, sized by this instance's share of its limits.
+    retry::retry_budget& budget_of(const model::service_id& service, const fleet_view& view,
                                    kernel::time_point now) {
-        const auto shape = shape_for(instances);
+        const auto shape = shape_for(view.share_of(service));
         auto it = budgets_.find(service);
         if (it == budgets_.end()) {
             it = budgets_.emplace(service, new_budget(shape)).first;
+            it->second.refill(started_.value_or(now));
         }
         it->second.resize(shape.burst, shape.reserve, shape.refill_per_second);
         it->second.refill(now);
@@ -87,8 +121,8 @@
         const auto it = view.configuration->services.find(service);
         const double all =
             it == view.configuration->services.end() ? 1 : it->second.max_connections;
-        const auto share = static_cast<std::uint32_t>(all * options_.connections_used /
-                                                      std::max<std::uint32_t>(1, view.instances));
+        const auto share =
+            static_cast<std::uint32_t>(all * options_.connections_used * view.share_of(service));
         return std::clamp<std::uint32_t>(share, 1, options_.max_connections_per_backend);
     }
 
@@ -100,6 +134,10 @@
     }
 
 private:
+    kernel::duration& delay_of(gather_place place) {
+        return place == gather_place::here ? answer_delay_ : handover_delay_;
+    }
+
     static routing::crash_quarantine_options quarantine_options() {
         routing::crash_quarantine_options options;
         // A crash of several backend servers at once costs an ordinary request two of them.
@@ -119,10 +157,10 @@
 
     /// What is saved up and what returns within one window are together this instance's share of
     /// the slack.
-    [[nodiscard]] budget_shape shape_for(std::uint32_t instances) const {
+    [[nodiscard]] budget_shape shape_for(double part) const {
         // Less than one token could never be spent.
         constexpr double least_burst = 1.2;
-        const double share = options_.extra_slack * options_.extra_slack_used / instances;
+        const double share = options_.extra_slack * options_.extra_slack_used * part;
         const double saved = share * options_.saved_part;
         const double burst = share > 0 ? std::max(least_burst, saved) : 0;
         const double window = std::chrono::duration<double>(options_.extra_window).count();
@@ -145,12 +183,14 @@
 
     session_options options_;
     kernel::seeded_random_source random_;
+    std::optional<kernel::time_point> started_;
     routing::replica_stats replicas_;
     routing::crash_quarantine quarantine_;
     metrics::counter_set counters_;
     wait_list<waiter> waiting_;
     std::map<std::string, route_statistics, std::less<>> routes_;
     kernel::duration answer_delay_ = std::chrono::milliseconds{7};
+    kernel::duration handover_delay_ = std::chrono::milliseconds{10};
     std::map<model::service_id, retry::retry_budget> budgets_;
 };
 
--- a/packages/proxy/attempt_calls.h
+++ b/packages/proxy/attempt_calls.h
@@ -54,6 +54,8 @@
         }
     }
 
+    [[nodiscard]] const forwarded_request& forwarded() const { return forwarded_; }
+
     /// The answer is not wanted any more.
     void forget_answer() { on_answer_ = nullptr; }
 
--- a/packages/proxy/client_connection.h
+++ b/packages/proxy/client_connection.h
@@ -193,8 +193,8 @@
                                  : refuse(id, unavailable, "no known route fits", keep_alive);
         }
         const auto request = proxied_request<Protocol>::create(
-            shared_->thread->context(), shared_->state, shared_->pool, view, *route,
-            std::move(received), [self = this->shared_from_this()](gateway::gateway_answer answer) {
+            *shared_, view, *route, std::move(received),
+            [self = this->shared_from_this()](gateway::gateway_answer answer) {
                 self->events_.push(event{event_kind::answered, 0, std::move(answer)});
             });
         ++shared_->open_requests;
@@ -245,9 +245,7 @@
             shared_->answers.add(to_string(next->answer->kind));
             const bool written =
                 write(Protocol::answer_bytes(*next->answer, request.request().id, kept));
-            if (const auto due = request.answered_when_due()) {
-                shared_->state.on_answer_delay(now() - *due);
-            }
+            request.on_answer_written();
             log_answer(request.request(), request.request_route(), *next->answer, elapsed);
             return written && kept;
         }
--- a/packages/proxy/fleet_publisher.h
+++ b/packages/proxy/fleet_publisher.h
@@ -21,7 +21,7 @@
     using view_ptr = std::shared_ptr<const kernel::published<gateway::fleet_view>>;
 
     static std::shared_ptr<fleet_publisher> create(
-        const std::shared_ptr<runtime::fiber_thread>& control);
+        const std::shared_ptr<runtime::fiber_thread>& control, gateway::fleet_options options);
 
     [[nodiscard]] view_ptr view() const { return view_; }
 
@@ -35,7 +35,8 @@
     void stop() { timer_.cancel(); }
 
 private:
-    explicit fleet_publisher(boost::asio::io_context& context) : timer_(context) {}
+    fleet_publisher(boost::asio::io_context& context, gateway::fleet_options options)
+        : tracker_(std::move(options)), timer_(context) {}
 
     void publish(kernel::time_point now);
     void arm_timer();
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -1,13 +1,17 @@
 #pragma once
 
+#include <boost/asio/dispatch.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "daemon/instance_identity.h"
+#include "daemon/peer_link.h"
 #include "kernel/module_registration.h"
 #include "kernel/readiness.h"
 #include "kernel/reload.h"
@@ -16,6 +20,7 @@
 #include "metrics/metrics_json.h"
 #include "proxy/fleet_publisher.h"
 #include "proxy/front_server.h"
+#include "proxy/gather_service.h"
 #include "proxy/gateway_settings.h"
 #include "runtime/http_server.h"
 #include "runtime/thread_set.h"
@@ -27,7 +32,7 @@
 class gateway_module {
 public:
     static kernel::module_descriptor descriptor() {
-        return {"gateway", {"runtime", "instance", "fleet"}, gateway_settings(), {"gateway"}};
+        return {"gateway", {"runtime", "instance", "peers", "fleet"}, gateway_settings(), {"gateway"}};
     }
 
     static kernel::result<std::shared_ptr<gateway_module>> create(kernel::module_context& context) {
@@ -43,6 +48,7 @@
                 front_server<Protocol>::create(shared, server_options_from(settings)));
             module->contexts_.push_back(std::move(shared));
         }
+        module->add_gathering(context);
         publisher->on_published([contexts = module->contexts_] { take_over_view(contexts); });
         context.require<kernel::reload_handlers>()->add(
             [contexts = module->contexts_](const kernel::settings& next) {
@@ -101,6 +107,63 @@
     static constexpr unsigned ok = 200;
     static constexpr unsigned unavailable = 503;
 
+    /// Hands gathers over to other instances, and gathers for them.
+    void add_gathering(kernel::module_context& context) {
+        const auto link = context.require<daemon::peer_link>();
+        const auto identity = context.require<const daemon::instance_identity>();
+        std::vector<std::shared_ptr<gather_service<Protocol>>> services;
+        for (std::size_t it = 0; it < contexts_.size(); ++it) {
+            contexts_[it]->orders = std::make_unique<order_book>(link, identity->peer_address, it,
+                                                                 contexts_.size());
+            services.push_back(std::make_shared<gather_service<Protocol>>(contexts_[it], link));
+        }
+        receive<gateway::gather_order>(
+            *link, wire::message_kind::gather_order, wire::decode_gather_order,
+            [services](std::size_t at, const auto& order, const std::string& sender) {
+                services[at]->on_order(order, sender);
+            });
+        receive<gateway::gather_confirmation>(
+            *link, wire::message_kind::gather_confirmation, wire::decode_gather_confirmation,
+            [services](std::size_t at, const auto& confirmation, const std::string&) {
+                services[at]->on_confirmation(confirmation);
+            });
+        receive<gateway::gather_cancel>(
+            *link, wire::message_kind::gather_cancel, wire::decode_gather_cancel,
+            [services](std::size_t at, const auto& cancel, const std::string&) {
+                services[at]->on_cancel(cancel);
+            });
+        receive<gateway::gather_report>(
+            *link, wire::message_kind::gather_report, wire::decode_gather_report,
+            [contexts = contexts_](std::size_t at, const auto& report, const std::string&) {
+                contexts[at]->orders->on_report(report);
+            });
+    }
+
+    /// Passes messages of one kind to the traffic thread that their number belongs to.
+    template <class Message, class Decoder, class Handler>
+    void receive(daemon::peer_link& link, wire::message_kind kind, Decoder decode,
+                 Handler handler) {
+        link.on(kind, [contexts = contexts_, decode, handler](const wire::envelope& message) {
+            const auto decoded = kernel::handle<wire::wire_error>(
+                [&]() -> kernel::result<std::optional<Message>> {
+                    BOOST_LEAF_AUTO(value, decode(message.payload));
+                    return std::optional{std::move(value)};
+                },
+                [&](const wire::wire_error& error) -> std::optional<Message> {
+                    log_message_refused(message.sender.text(), error.field, error.message);
+                    return std::nullopt;
+                });
+            if (decoded) {
+                const auto at = static_cast<std::size_t>(decoded->number % contexts.size());
+                boost::asio::dispatch(contexts[at]->thread->context(),
+                                      [handler, at, value = *decoded,
+                                       sender = message.sender.text()] {
+                                          handler(at, value, sender);
+                                      });
+            }
+        });
+    }
+
     void add_conditions(kernel::module_context& context, const fleet_publisher::view_ptr& view) {
         readiness_ = context.require<kernel::readiness>();
         readiness_->add([view] { return view->read()->configuration != nullptr; });
--- a/packages/proxy/internal/fleet_publisher.cpp
+++ b/packages/proxy/internal/fleet_publisher.cpp
@@ -5,8 +5,9 @@
 namespace poplarfront::proxy {
 
 std::shared_ptr<fleet_publisher> fleet_publisher::create(
-    const std::shared_ptr<runtime::fiber_thread>& control) {
-    return std::shared_ptr<fleet_publisher>(new fleet_publisher(control->context()));
+    const std::shared_ptr<runtime::fiber_thread>& control, gateway::fleet_options options) {
+    return std::shared_ptr<fleet_publisher>(
+        new fleet_publisher(control->context(), std::move(options)));
 }
 
 void fleet_publisher::apply(const step& step) {
@@ -27,10 +28,11 @@
         backends += list.size();
     }
     spdlog::info(
-        "event=fleet_changed config={} config_before={} backends={} instances={} current={}",
+        "event=fleet_changed config={} config_before={} backends={} instances={} gatherers={} "
+        "current={}",
         next.configuration == nullptr ? 0 : next.configuration->version,
         before->configuration == nullptr ? 0 : before->configuration->version, backends,
-        next.instances, next.current);
+        next.instances, next.gatherers.size(), next.current);
     view_->publish(std::move(next));
     if (on_published_) {
         on_published_();
--- a/packages/proxy/internal/request_log.cpp
+++ b/packages/proxy/internal/request_log.cpp
@@ -23,11 +23,35 @@
     spdlog::info(
         "event=answer request={} route={} outcome={} status={} reason=\"{}\" ms={:.1f} "
         "patience_ms={:.0f} objective_ms={:.0f} config={} shards={} covered={} attempts={} "
-        "hedges={} retries={} over_budget={} last_failure={}",
+        "hedges={} retries={} over_budget={} last_failure={} gatherer={}",
         request.id, route.name, gateway::to_string(answer.kind), answer.reply.status, answer.reason,
         ms(elapsed), ms(request.patience), ms(route.objective), summary.configuration_version,
         summary.shards, summary.covered, summary.attempts, summary.hedges, summary.retries,
-        summary.over_budget, or_none(summary.last_failure));
+        summary.over_budget, or_none(summary.last_failure), or_none(summary.gatherer));
+}
+
+void log_order_answered(const gateway::gather_order& order, const std::string& sender,
+                        const gateway::gateway_answer& answer) {
+    const auto& summary = answer.summary;
+    spdlog::info(
+        "event=order request={} from={} outcome={} reason=\"{}\" answer_ms={:.0f} config={} "
+        "shards={} covered={} attempts={} hedges={} retries={} over_budget={} last_failure={}",
+        order.request_id, sender, gateway::to_string(answer.kind), answer.reason,
+        ms(order.left_to_answer), summary.configuration_version, summary.shards, summary.covered,
+        summary.attempts, summary.hedges, summary.retries, summary.over_budget,
+        or_none(summary.last_failure));
+}
+
+void log_order_refused(const gateway::gather_order& order, const std::string& sender,
+                       std::string_view reason) {
+    spdlog::info("event=order request={} from={} outcome=refused reason=\"{}\" config={}",
+                 order.request_id, sender, reason, order.configuration_version);
+}
+
+void log_message_refused(std::string_view sender, std::string_view field,
+                         std::string_view message) {
+    spdlog::warn("event=peer_message from={} outcome=refused field={} message=\"{}\"", sender,
+                 field, message);
 }
 
 void log_client_gone(const gateway::client_request& request, const gateway::route& route,
--- a/packages/proxy/request_log.h
+++ b/packages/proxy/request_log.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <string>
 #include <string_view>
 
 #include "gateway/client_request.h"
+#include "gateway/gather_order.h"
 #include "gateway/gateway_answer.h"
 #include "gateway/route.h"
 
@@ -16,6 +18,15 @@
 void log_client_gone(const gateway::client_request& request, const gateway::route& route,
                      const gateway::request_summary& summary, kernel::duration elapsed);
 
+/// Write the line of a gather that another instance has ordered. Thread-safe.
+void log_order_answered(const gateway::gather_order& order, const std::string& sender,
+                        const gateway::gateway_answer& answer);
+void log_order_refused(const gateway::gather_order& order, const std::string& sender,
+                       std::string_view reason);
+
+/// Writes the line for a message of another instance that cannot be read. Thread-safe.
+void log_message_refused(std::string_view sender, std::string_view field, std::string_view message);
+
 /// Writes the line for a request that was answered without a route or a decision. Thread-safe.
 void log_refused(std::string_view id, unsigned status, std::string_view reason);
 
--- a/packages/proxy/traffic_context.h
+++ b/packages/proxy/traffic_context.h
@@ -10,6 +10,7 @@
 #include "kernel/published.h"
 #include "metrics/latency_histogram.h"
 #include "proxy/backend_pool.h"
+#include "proxy/order_book.h"
 #include "runtime/fiber_thread.h"
 
 namespace poplarfront::proxy {
@@ -25,7 +26,7 @@
                     gateway::session_options options, std::uint64_t seed)
         : thread(std::move(traffic_thread)),
           view(std::move(published_view)),
-          state(std::move(options), seed),
+          state(std::move(options), seed, kernel::time_point::clock::now()),
           pool(thread->context()) {}
 
     std::shared_ptr<runtime::fiber_thread> thread;
@@ -39,6 +40,10 @@
     std::set<model::server_id> known_backends;
     std::atomic<bool> stopping = false;
     std::size_t open_requests = 0;
+    /// Gathers under way for clients of other instances.
+    std::size_t open_orders = 0;
+    /// Null if this instance gathers for its clients itself.
+    std::unique_ptr<order_book> orders;
 
     /// Takes over a new view: requests under way get no backend server that has left, and idle
     /// connections to such are closed. Runs on the traffic thread.
--- a/packages/runtime/internal/peer_endpoint.cpp
+++ b/packages/runtime/internal/peer_endpoint.cpp
@@ -50,6 +50,15 @@
                           });
     }
 
+    void renew(const std::string& address) {
+        boost::asio::post(thread_->context(), [self = shared_from_this(), address] {
+            if (const auto it = self->dealers_.find(address); it != self->dealers_.end()) {
+                it->second.set(zmq::sockopt::linger, 0);
+                self->dealers_.erase(it);
+            }
+        });
+    }
+
     [[nodiscard]] counters count() const {
         return {sent_, sent_bytes_, received_, received_bytes_, dropped_};
     }
@@ -160,6 +169,10 @@
     implementation_->send(address, std::move(bytes));
 }
 
+void peer_endpoint::renew(const std::string& address) {
+    implementation_->renew(address);
+}
+
 peer_endpoint::counters peer_endpoint::count() const {
     return implementation_->count();
 }
--- a/packages/runtime/peer_endpoint.h
+++ b/packages/runtime/peer_endpoint.h
@@ -14,7 +14,7 @@
 /// Sends and receives messages between instances: one ZeroMQ ROUTER that receives, and one DEALER
 /// for each instance that messages are sent to. Messages may be lost or arrive late.
 ///
-/// Thread safety: `send` and `count` may be called from any thread; the receiver runs on the
+/// Thread safety: `send`, `renew` and `count` may be called from any thread; the receiver runs on the
 /// endpoint's thread and must not suspend.
 class peer_endpoint {
 public:
@@ -42,6 +42,10 @@
     /// Queues a message to the instance at `address`. Returns at once; there is no confirmation.
     void send(const std::string& address, std::string bytes);
 
+    /// Closes the connection to an instance, with what is queued for it; the next message opens a
+    /// new one. Connections may fall silent without an error.
+    void renew(const std::string& address);
+
     [[nodiscard]] counters count() const;
 
     /// Closes the sockets. Queued messages are sent for up to 200 ms, so that a notice of leaving
--- /dev/null
+++ b/packages/wire/gather_codec.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "gateway/gather_order.h"
+#include "kernel/result.h"
+#include "wire/wire_error.h"
+
+namespace poplarfront::wire {
+
+/// Payloads of the messages between the instance of a client and the one that gathers for it.
+/// Times travel as what is left of them, in microseconds; negative ones arrive as zero. All
+/// functions are thread-safe; the errors of decoding are wire_error, without a field if the bytes
+/// are malformed.
+
+std::string encode_gather_order(const gateway::gather_order& order);
+kernel::result<gateway::gather_order> decode_gather_order(std::string_view bytes);
+
+std::string encode_gather_confirmation(const gateway::gather_confirmation& confirmation);
+kernel::result<gateway::gather_confirmation> decode_gather_confirmation(std::string_view bytes);
+
+std::string encode_gather_cancel(const gateway::gather_cancel& cancel);
+kernel::result<gateway::gather_cancel> decode_gather_cancel(std::string_view bytes);
+
+/// The reply of a single backend server is not carried.
+std::string encode_gather_report(const gateway::gather_report& report);
+kernel::result<gateway::gather_report> decode_gather_report(std::string_view bytes);
+
+}  // namespace poplarfront::wire
--- /dev/null
+++ b/packages/wire/internal/gather_codec.cpp
@@ -0,0 +1,193 @@
+#include "wire/gather_codec.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "wire/generated/peer.pb.h"
+#include "wire/internal/proto_fields.h"
+
+namespace poplarfront::wire {
+namespace {
+
+using outcome = gateway::gather_report::outcome;
+
+std::uint64_t to_us(kernel::duration left) {
+    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(left).count();
+    return us > 0 ? static_cast<std::uint64_t>(us) : 0;
+}
+
+kernel::duration from_us(std::uint64_t us) {
+    // A day; longer times are not meant by any request.
+    constexpr std::uint64_t max_us = 86'400'000'000;
+    return std::chrono::microseconds{static_cast<std::int64_t>(std::min(us, max_us))};
+}
+
+kernel::result<gateway::answer_kind> to_kind(std::uint32_t kind) {
+    const auto known = static_cast<gateway::answer_kind>(kind);
+    switch (known) {
+        case gateway::answer_kind::gathered:
+        case gateway::answer_kind::not_run:
+        case gateway::answer_kind::failed:
+        case gateway::answer_kind::timed_out:
+            return known;
+        case gateway::answer_kind::passed_on:
+            break;
+    }
+    return boost::leaf::new_error(wire_error{"kind", "is not an answer of a gather"});
+}
+
+kernel::result<outcome> to_outcome(proto::GatherReport::Outcome what) {
+    switch (what) {
+        case proto::GatherReport::REFUSED:
+            return outcome::refused;
+        case proto::GatherReport::AT_WORK:
+            return outcome::at_work;
+        case proto::GatherReport::ANSWERED:
+            return outcome::answered;
+        default:
+            return boost::leaf::new_error(wire_error{"outcome", "is not known"});
+    }
+}
+
+proto::GatherReport::Outcome to_proto(outcome what) {
+    switch (what) {
+        case outcome::at_work:
+            return proto::GatherReport::AT_WORK;
+        case outcome::answered:
+            return proto::GatherReport::ANSWERED;
+        case outcome::refused:
+            break;
+    }
+    return proto::GatherReport::REFUSED;
+}
+
+void set_summary(const gateway::request_summary& summary, proto::GatherSummary& message) {
+    message.set_configuration_version(summary.configuration_version);
+    message.set_shards(summary.shards);
+    message.set_covered(summary.covered);
+    message.set_attempts(summary.attempts);
+    message.set_hedges(summary.hedges);
+    message.set_retries(summary.retries);
+    message.set_over_budget(summary.over_budget);
+    message.set_last_failure(summary.last_failure);
+}
+
+gateway::request_summary get_summary(const proto::GatherSummary& message) {
+    gateway::request_summary summary;
+    summary.configuration_version = message.configuration_version();
+    summary.shards = message.shards();
+    summary.covered = message.covered();
+    summary.attempts = message.attempts();
+    summary.hedges = message.hedges();
+    summary.retries = message.retries();
+    summary.over_budget = message.over_budget();
+    summary.last_failure = message.last_failure();
+    return summary;
+}
+
+}  // namespace
+
+std::string encode_gather_order(const gateway::gather_order& order) {
+    proto::GatherOrder message;
+    message.set_number(order.number);
+    message.set_reply_to(order.reply_to);
+    message.set_configuration_version(order.configuration_version);
+    message.set_request_id(order.request_id);
+    message.set_host(order.host);
+    message.set_target(order.target);
+    message.set_fingerprint(order.fingerprint);
+    message.set_answer_us(to_us(order.left_to_answer));
+    message.set_end_us(to_us(order.left_to_end));
+    message.set_head(order.head);
+    message.set_body(order.body);
+    message.set_without_reply_body(order.without_reply_body);
+    message.set_max_attempts(order.max_attempts);
+    return message.SerializeAsString();
+}
+
+kernel::result<gateway::gather_order> decode_gather_order(std::string_view bytes) {
+    BOOST_LEAF_AUTO(message, internal::parse_message<proto::GatherOrder>(bytes));
+    gateway::gather_order order;
+    order.number = message.number();
+    order.reply_to = message.reply_to();
+    order.configuration_version = message.configuration_version();
+    order.request_id = message.request_id();
+    order.host = message.host();
+    order.target = message.target();
+    order.fingerprint = message.fingerprint();
+    order.left_to_answer = from_us(message.answer_us());
+    order.left_to_end = from_us(message.end_us());
+    order.head = message.head();
+    order.body = message.body();
+    order.without_reply_body = message.without_reply_body();
+    order.max_attempts = message.max_attempts();
+    return order;
+}
+
+std::string encode_gather_confirmation(const gateway::gather_confirmation& confirmation) {
+    proto::GatherConfirmation message;
+    message.set_number(confirmation.number);
+    message.set_reply_to(confirmation.reply_to);
+    return message.SerializeAsString();
+}
+
+kernel::result<gateway::gather_confirmation> decode_gather_confirmation(std::string_view bytes) {
+    BOOST_LEAF_AUTO(message, internal::parse_message<proto::GatherConfirmation>(bytes));
+    return gateway::gather_confirmation{message.number(), message.reply_to()};
+}
+
+std::string encode_gather_cancel(const gateway::gather_cancel& cancel) {
+    proto::GatherCancel message;
+    message.set_number(cancel.number);
+    message.set_reply_to(cancel.reply_to);
+    message.set_unheard(cancel.unheard);
+    return message.SerializeAsString();
+}
+
+kernel::result<gateway::gather_cancel> decode_gather_cancel(std::string_view bytes) {
+    BOOST_LEAF_AUTO(message, internal::parse_message<proto::GatherCancel>(bytes));
+    return gateway::gather_cancel{message.number(), message.reply_to(), message.unheard()};
+}
+
+std::string encode_gather_report(const gateway::gather_report& report) {
+    proto::GatherReport message;
+    message.set_number(report.number);
+    message.set_outcome(to_proto(report.what));
+    message.set_next_report_us(to_us(report.next_report));
+    message.set_load(report.load);
+    if (report.what == outcome::answered) {
+        message.set_kind(static_cast<std::uint32_t>(report.answer.kind));
+        for (const auto& it : report.answer.signatures) {
+            message.add_signatures(it);
+        }
+        message.set_missing(report.answer.missing);
+        message.set_records(report.answer.records);
+        message.set_retry_after_us(to_us(report.answer.retry_after));
+        message.set_reason(report.answer.reason);
+        message.set_when_due(report.when_due);
+        set_summary(report.answer.summary, *message.mutable_summary());
+    }
+    return message.SerializeAsString();
+}
+
+kernel::result<gateway::gather_report> decode_gather_report(std::string_view bytes) {
+    BOOST_LEAF_AUTO(message, internal::parse_message<proto::GatherReport>(bytes));
+    gateway::gather_report report;
+    BOOST_LEAF_ASSIGN(report.what, to_outcome(message.outcome()));
+    report.number = message.number();
+    report.next_report = from_us(message.next_report_us());
+    report.load = message.load();
+    if (report.what == outcome::answered) {
+        BOOST_LEAF_ASSIGN(report.answer.kind, to_kind(message.kind()));
+        report.answer.signatures.assign(message.signatures().begin(), message.signatures().end());
+        report.answer.missing = message.missing();
+        report.answer.records = message.records();
+        report.answer.retry_after = from_us(message.retry_after_us());
+        report.answer.reason = message.reason();
+        report.when_due = message.when_due();
+        report.answer.summary = get_summary(message.summary());
+    }
+    return report;
+}
+
+}  // namespace poplarfront::wire
