--- a/packages/gateway/gather_order.h
+++ b/packages/gateway/gather_order.h
@@ -35,6 +35,14 @@
     friend auto operator<=>(const gather_order&, const gather_order&) = default;
 };
 
+/// Asks a gatherer for a report that belongs to no order, so that connections are open both ways
+/// before the first order: opening them takes several ways between data centres.
+struct gather_greeting {
+    std::uint64_t number = 0;
+    std::string reply_to;
+    friend auto operator<=>(const gather_greeting&, const gather_greeting&) = default;
+};
+
 /// Tells a gatherer that its first report has arrived. Before that another instance may get the
 /// order too, and both together keep to the attempts of the route.
 struct gather_confirmation {
--- a/packages/gateway/internal/gatherer_choice.cpp
+++ b/packages/gateway/internal/gatherer_choice.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "model/identifier.h"
+
 namespace poplarfront::gateway {
 namespace {
 
@@ -15,6 +17,33 @@
 /// reach any gatherer.
 constexpr double gatherers_part = 0.75;
 
+/// Gatherers of one instance. Some of them may fail at the same time.
+constexpr std::size_t most_gatherers = 8;
+
+/// Keeps a few gatherers, other ones for each instance.
+void keep_some(std::vector<registered_instance>& gatherers, const std::string& own_name,
+               const std::vector<registered_instance>& instances) {
+    if (gatherers.size() <= most_gatherers) {
+        return;
+    }
+    const auto self = std::find_if(instances.begin(), instances.end(),
+                                   [&](const auto& it) { return it.name == own_name; });
+    const auto rank = [&](const auto& it) { return model::stable_hash(it.name + own_name); };
+    std::sort(gatherers.begin(), gatherers.end(),
+              [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    const auto is_near = [&](const auto& it) {
+        return self != instances.end() && it.data_centre == self->data_centre;
+    };
+    const auto near_end = std::stable_partition(gatherers.begin(), gatherers.end(), is_near);
+    // Half of them near, the rest from anywhere else.
+    const auto near = static_cast<std::size_t>(near_end - gatherers.begin());
+    if (near > most_gatherers / 2) {
+        const auto surplus = std::min(near - most_gatherers / 2, gatherers.size() - most_gatherers);
+        gatherers.erase(near_end - static_cast<std::ptrdiff_t>(surplus), near_end);
+    }
+    gatherers.resize(std::min(gatherers.size(), most_gatherers));
+}
+
 double median_capacity(const std::vector<registered_instance>& instances) {
     std::vector<double> sizes;
     sizes.reserve(instances.size());
@@ -62,6 +91,7 @@
     } else {
         choice.share = (1 - gatherers_part) / (all - gathering);
     }
+    keep_some(choice.gatherers, own_name, instances);
     return choice;
 }
 
--- a/packages/gateway/tests/gatherer_choice_test.cpp
+++ b/packages/gateway/tests/gatherer_choice_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 namespace poplarfront::gateway {
 namespace {
@@ -40,6 +41,20 @@
     CHECK(choose_gatherers("small-0", instances(300, 1, 0.5)).gatherers.empty());
 }
 
+TEST_CASE("of many large instances each small one knows a few, and together they know all") {
+    const auto all = instances(100, 40, 0.5);
+    std::set<std::string> known;
+    for (const auto& it : all) {
+        const auto choice = choose_gatherers(it.name, all);
+        CHECK(choice.gatherers.size() == 8);
+        for (const auto& gatherer : choice.gatherers) {
+            known.insert(gatherer.name);
+        }
+    }
+    CHECK(known.size() == 40);
+    CHECK(choose_gatherers("large-0", all).share == Approx(0.75 / 40));
+}
+
 TEST_CASE("registrations without a size make no gatherers") {
     std::vector<registered_instance> unknown{{"a", "10.0.0.1:1", "a", 0},
                                              {"b", "10.0.0.1:1", "a", 0}};
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -122,6 +122,11 @@
             [services](std::size_t at, const auto& order, const std::string& sender) {
                 services[at]->on_order(order, sender);
             });
+        receive<gateway::gather_greeting>(
+            *link, wire::message_kind::gather_greeting, wire::decode_gather_greeting,
+            [services](std::size_t at, const auto& greeting, const std::string&) {
+                services[at]->on_greeting(greeting);
+            });
         receive<gateway::gather_confirmation>(
             *link, wire::message_kind::gather_confirmation, wire::decode_gather_confirmation,
             [services](std::size_t at, const auto& confirmation, const std::string&) {
--- a/packages/proxy/gather_service.h
+++ b/packages/proxy/gather_service.h
@@ -41,6 +41,13 @@
         start(order, sender, view, *route);
     }
 
+    void on_greeting(const gateway::gather_greeting& greeting) {
+        gateway::gather_report report;
+        report.number = greeting.number;
+        link_->send(greeting.reply_to, wire::message_kind::gather_report,
+                    wire::encode_gather_report(report));
+    }
+
     void on_confirmation(const gateway::gather_confirmation& confirmation) {
         const auto it = running_.find({confirmation.reply_to, confirmation.number});
         if (it != running_.end()) {
--- a/packages/proxy/internal/order_book.cpp
+++ b/packages/proxy/internal/order_book.cpp
@@ -4,11 +4,20 @@
 
 namespace poplarfront::proxy {
 
+void order_book::greet(const std::set<std::string>& addresses) {
+    for (const auto& it : addresses) {
+        if (!greeted_.contains(it)) {
+            link_->send(it, wire::message_kind::gather_greeting,
+                        wire::encode_gather_greeting({next_number(), reply_to_}));
+        }
+    }
+    greeted_ = addresses;
+}
+
 std::uint64_t order_book::place(const std::string& address, gateway::gather_order order,
                                 report_handler on_report) {
-    order.number = next_;
+    order.number = next_number();
     order.reply_to = reply_to_;
-    next_ += step_;
     open_.emplace(order.number, std::move(on_report));
     link_->send(address, wire::message_kind::gather_order, wire::encode_gather_order(order));
     return order.number;
--- a/packages/proxy/order_book.h
+++ b/packages/proxy/order_book.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -25,6 +26,9 @@
                std::uint64_t threads)
         : link_(std::move(link)), reply_to_(std::move(reply_to)), next_(index), step_(threads) {}
 
+    /// Opens connections to the gatherers at these addresses that were not greeted before.
+    void greet(const std::set<std::string>& addresses);
+
     /// Sends an order to the instance at IP:PORT and returns its number. The order's own number and
     /// address for reports are set here.
     std::uint64_t place(const std::string& address, gateway::gather_order order,
@@ -44,11 +48,14 @@
     void on_report(const gateway::gather_report& report);
 
 private:
+    std::uint64_t next_number() { return std::exchange(next_, next_ + step_); }
+
     std::shared_ptr<daemon::peer_link> link_;
     std::string reply_to_;
     std::uint64_t next_;
     std::uint64_t step_;
     std::map<std::uint64_t, report_handler> open_;
+    std::set<std::string> greeted_;
 };
 
 }  // namespace poplarfront::proxy
--- a/packages/proxy/traffic_context.h
+++ b/packages/proxy/traffic_context.h
@@ -65,6 +65,13 @@
             }
         }
         known_backends = std::move(known);
+        if (orders != nullptr) {
+            std::set<std::string> addresses;
+            for (const auto& it : current->gatherers) {
+                addresses.insert(it.address);
+            }
+            orders->greet(addresses);
+        }
         pool.retain([&](const model::server_id& id) { return known_backends.contains(id); });
     }
 };
--- a/packages/wire/envelope.h
+++ b/packages/wire/envelope.h
@@ -28,6 +28,7 @@
     gather_cancel = 11,
     gather_report = 12,
     gather_confirmation = 13,
+    gather_greeting = 14,
 };
 
 /// A message between instances.
--- a/packages/wire/gather_codec.h
+++ b/packages/wire/gather_codec.h
@@ -17,6 +17,9 @@
 std::string encode_gather_order(const gateway::gather_order& order);
 kernel::result<gateway::gather_order> decode_gather_order(std::string_view bytes);
 
+std::string encode_gather_greeting(const gateway::gather_greeting& greeting);
+kernel::result<gateway::gather_greeting> decode_gather_greeting(std::string_view bytes);
+
 std::string encode_gather_confirmation(const gateway::gather_confirmation& confirmation);
 kernel::result<gateway::gather_confirmation> decode_gather_confirmation(std::string_view bytes);
 
--- a/packages/wire/internal/gather_codec.cpp
+++ b/packages/wire/internal/gather_codec.cpp
@@ -124,6 +124,18 @@
     return order;
 }
 
+std::string encode_gather_greeting(const gateway::gather_greeting& greeting) {
+    proto::GatherGreeting message;
+    message.set_number(greeting.number);
+    message.set_reply_to(greeting.reply_to);
+    return message.SerializeAsString();
+}
+
+kernel::result<gateway::gather_greeting> decode_gather_greeting(std::string_view bytes) {
+    BOOST_LEAF_AUTO(message, internal::parse_message<proto::GatherGreeting>(bytes));
+    return gateway::gather_greeting{message.number(), message.reply_to()};
+}
+
 std::string encode_gather_confirmation(const gateway::gather_confirmation& confirmation) {
     proto::GatherConfirmation message;
     message.set_number(confirmation.number);
