--- a/packages/gateway/tests/request_session_test.cpp
+++ b/packages/gateway/tests/request_session_test.cpp
@@ -418,5 +418,71 @@
         start_time + milliseconds{600});
 }
 
+TEST_CASE("an order that is not confirmed reaches one backend server of each shard") {
+    const fleet fleet{4, 3};
+    traffic_state state{test_options(), 1, start_time - std::chrono::seconds{60}};
+    fake_transport transport;
+    const session_terms terms{start_time + milliseconds{90}, start_time + milliseconds{500}, 1};
+    session ordered{state, transport, fleet.published(), fleet.gather, request(), terms};
+    ordered.start(start_time);
+    REQUIRE(transport.sent.size() == 4);
+    while (ordered.next_timer() && *ordered.next_timer() <= start_time + milliseconds{60}) {
+        ordered.on_timer(*ordered.next_timer());
+    }
+    CHECK(transport.sent.size() == 4);
+    CHECK(transport.sent.front().until == terms.ends_at);
+    // The next straggler after the confirmation is hedged.
+    ordered.on_result(0, ended(attempt_end::lost), start_time + milliseconds{61});
+    CHECK(transport.sent.size() == 4);
+    ordered.set_max_attempts(2);
+    ordered.on_result(1, ended(attempt_end::lost), start_time + milliseconds{62});
+    CHECK(transport.sent.size() == 5);
+}
+
+TEST_CASE("a request that is sent often is not taken for one that crashes backend servers") {
+    // Of many replies a few are spoilt, each by another backend server; all others are good.
+    const fleet fleet{4, 4};
+    const auto view = fleet.published();
+    traffic_state state{test_options(), 1};
+    for (int round = 0; round < 20; ++round) {
+        INFO("round " << round);
+        fake_transport transport;
+        auto repeated = request();
+        repeated.received += std::chrono::seconds{round};
+        session often{state, transport, view, fleet.gather, repeated};
+        often.start(repeated.received);
+        REQUIRE(transport.sent.size() == 4);
+        for (std::size_t it = 0; it < transport.sent.size(); ++it) {
+            const bool spoilt = it == 0;
+            often.on_result(transport.sent[it].attempt,
+                            spoilt ? ended(attempt_end::lost) : success("good"),
+                            repeated.received + milliseconds{5});
+        }
+    }
+}
+
+TEST_CASE("a request that crashes each backend server is refused after three of them") {
+    const fleet fleet{4, 4};
+    const auto view = fleet.published();
+    traffic_state state{test_options(), 1};
+    fake_transport transport;
+    std::size_t lost = 0;
+    std::size_t sent_by_then = 0;
+    constexpr int enough_rounds = 5;
+    for (int round = 0; round < 2 * enough_rounds; ++round) {
+        sent_by_then = round == enough_rounds ? transport.sent.size() : sent_by_then;
+        auto repeated = request();
+        repeated.received += milliseconds{100 * round};
+        const auto now = repeated.received;
+        session crashing{state, transport, view, fleet.single, repeated};
+        crashing.start(now);
+        for (; lost < transport.sent.size(); ++lost) {
+            crashing.on_result(transport.sent[lost].attempt, ended(attempt_end::lost), now);
+        }
+    }
+    CHECK(transport.sent.size() == sent_by_then);
+    CHECK(transport.answers.back().kind == answer_kind::not_run);
+}
+
 }  // namespace
 }  // namespace poplarfront::gateway
--- a/packages/gateway/tests/values_test.cpp
+++ b/packages/gateway/tests/values_test.cpp
@@ -82,5 +82,32 @@
     CHECK(state.answer_margin(statistics, gather_place::here) == milliseconds{10});
 }
 
+TEST_CASE("a budget that is first used late has filled since the start of the process") {
+    const fleet fleet{1};
+    const auto view = fleet.published();
+    traffic_state fresh{test_options(), 1, start_time};
+    traffic_state older{test_options(), 1, start_time - std::chrono::seconds{30}};
+    CHECK(older.budget_of(service("s0"), *view, start_time).tokens() >
+          fresh.budget_of(service("s0"), *view, start_time).tokens() + 1);
+    // A reload that leaves the ratio alone gives no new tokens.
+    while (fresh.budget_of(service("s0"), *view, start_time).try_take_reserved(start_time)) {
+    }
+    fresh.set_options(test_options());
+    CHECK(fresh.budget_of(service("s0"), *view, start_time).tokens() < 1);
+}
+
+TEST_CASE("the shards' limits are divided among gatherers, other services' among all") {
+    fleet fleet{2};
+    fleet.view.instances = 100;
+    fleet.view.shard_share = 0.1;
+    fleet.view.shards =
+        std::make_shared<const std::set<model::service_id>>(std::set{service("s0")});
+    CHECK(fleet.view.share_of(service("s0")) == Approx(0.1));
+    CHECK(fleet.view.share_of(service("s1")) == Approx(0.01));
+    traffic_state state{test_options(), 1};
+    CHECK(state.concurrency(*fleet.published(), service("s0")) == 4);
+    CHECK(state.concurrency(*fleet.published(), service("s1")) == 1);
+}
+
 }  // namespace
 }  // namespace poplarfront::gateway
--- a/packages/gateway/traffic_state.h
+++ b/packages/gateway/traffic_state.h
@@ -146,6 +146,9 @@
         options.quarantine_lifetime = std::chrono::seconds{30};
         options.max_entries = 1000;
         options.max_known_good = 1000;
+        // Without it a request that is sent often is refused once three backend servers have
+        // spoilt one reply each.
+        options.good_reply_clears = true;
         return options;
     }
 
--- a/packages/routing/crash_quarantine.h
+++ b/packages/routing/crash_quarantine.h
@@ -41,6 +41,9 @@
     std::size_t max_entries = 10'000;
     /// About 50 bytes each.
     std::size_t max_known_good = 20'000;
+    /// Whether a complete reply clears a query of its symptoms. It does where a query that crashes
+    /// one backend server crashes each one.
+    bool good_reply_clears = false;
 };
 
 /// Tracks queries after which connections were lost, and refuses those that crash backend servers.
@@ -58,6 +61,9 @@
 
     /// Takes a complete reply to the query.
     void on_good(query_fingerprint query) {
+        if (options_.good_reply_clears) {
+            entries_.erase(query);
+        }
         end_trial(query);
         if (known_good_.size() >= options_.max_known_good / 2) {
             // The older half goes, so that a full list does not cost every query a canary at once.
--- a/packages/runtime/tests/http_test.cpp
+++ b/packages/runtime/tests/http_test.cpp
@@ -1,8 +1,11 @@
 #include <sys/resource.h>
+#include <sys/socket.h>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
 #include <catch2/catch.hpp>
 #include <thread>
+#include <vector>
 
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
@@ -110,5 +113,35 @@
     thread->stop();
 }
 
+TEST_CASE("a call to a host that does not answer connecting is given up long before its deadline") {
+    // The queue of new connections is full, so that further ones hang as they do behind a cut. The
+    // system repeats them after 1 s, 3 s, 7 s and 15 s, and a short cut of the store lasted 15 s.
+    boost::asio::io_context context;
+    using boost::asio::ip::tcp;
+    tcp::acceptor full{context};
+    full.open(tcp::v4());
+    full.bind({boost::asio::ip::address_v4::loopback(), 0});
+    full.listen(0);
+    std::vector<tcp::socket> waiting;
+    for (int it = 0; it < 4; ++it) {
+        waiting.emplace_back(context);
+        waiting.back().open(tcp::v4());
+        waiting.back().native_non_blocking(true);
+        const auto endpoint = full.local_endpoint();
+        ::connect(waiting.back().native_handle(), endpoint.data(),
+                  static_cast<socklen_t>(endpoint.size()));
+    }
+    const auto thread = fiber_thread::create("test");
+    const auto client = http_client::create(thread);
+    const auto address = "127.0.0.1:" + std::to_string(full.local_endpoint().port());
+    thread->run([&] {
+        const auto began = std::chrono::steady_clock::now();
+        CHECK(client->call(address, {"GET", "/"}, in(milliseconds{8000}), 1).status ==
+              call_status::not_sent);
+        CHECK(std::chrono::steady_clock::now() - began < milliseconds{2500});
+    });
+    thread->stop();
+}
+
 }  // namespace
 }  // namespace poplarfront::runtime
--- a/packages/runtime/tests/peer_endpoint_test.cpp
+++ b/packages/runtime/tests/peer_endpoint_test.cpp
@@ -32,5 +32,26 @@
     thread->stop();
 }
 
+TEST_CASE("messages go on after a connection was renewed, also to an unknown peer") {
+    const auto thread = fiber_thread::create("test");
+    mailbox<std::string> received;
+    auto sender =
+        peer_endpoint::create(thread, "127.0.0.1:29413", [](const std::string&) {});
+    auto receiver = peer_endpoint::create(thread, "127.0.0.1:29414",
+                                          [&](std::string bytes) { received.push(bytes); });
+    REQUIRE(sender);
+    REQUIRE(receiver);
+    const auto limit = std::chrono::steady_clock::now() + milliseconds{3000};
+    sender.value()->renew("127.0.0.1:29414");
+    sender.value()->send("127.0.0.1:29414", "first");
+    thread->run([&] { CHECK(received.pop_until(limit) == "first"); });
+    sender.value()->renew("127.0.0.1:29414");
+    sender.value()->send("127.0.0.1:29414", "second");
+    thread->run([&] { CHECK(received.pop_until(limit) == "second"); });
+    sender.value()->stop();
+    receiver.value()->stop();
+    thread->stop();
+}
+
 }  // namespace
 }  // namespace poplarfront::runtime
