--- a/packages/proxy/front_server.h
+++ b/packages/proxy/front_server.h
@@ -56,6 +56,19 @@
         return {};
     }
 
+    /// Closes the listener at once, after a start that is given up.
+    void abandon() {
+        shared_->thread->run([self = this->shared_from_this()] {
+            boost::system::error_code ignored;
+            self->acceptor_.close(ignored);
+            const auto open = self->connections_;
+            for (const auto& it : open) {
+                it->close_if_idle();
+            }
+            self->shared_->pool.close();
+        });
+    }
+
     /// Goes on serving for the stop delay, then takes no new requests, waits for those under way,
     /// and closes all connections.
     void stop() {
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -81,7 +81,11 @@
                                       }));
                 return {};
             },
-            [](const runtime::listen_error& error) -> kernel::result<void> {
+            [&](const runtime::listen_error& error) -> kernel::result<void> {
+                // A module whose start failed is not stopped.
+                for (const auto& it : servers_) {
+                    it->abandon();
+                }
                 return boost::leaf::new_error(
                     kernel::module_error{"gateway", error.address + ": " + error.message});
             });
