--- a/packages/daemon/tests/test_tier.cpp
+++ b/packages/daemon/tests/test_tier.cpp
@@ -77,18 +77,6 @@
                << " searcher=" << it.searcher;
 }
 
-bool eventually(milliseconds limit, const std::function<bool()>& condition) {
-    constexpr auto poll_interval = milliseconds{10};
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() >= end) {
-            return false;
-        }
-        std::this_thread::sleep_for(poll_interval);
-    }
-    return true;
-}
-
 test_tier::test_tier()
     : folder_(temporary_folder()),
       standin_thread_(runtime::fiber_thread::create("standins")),
--- a/packages/daemon/tests/test_tier.h
+++ b/packages/daemon/tests/test_tier.h
@@ -12,9 +12,12 @@
 #include "runtime/http_client.h"
 #include "standins/store/store_standin.h"
 #include "support/child_process.h"
+#include "support/eventually.h"
 
 namespace poplarfront::daemon {
 
+using test_support::eventually;
+
 inline constexpr std::size_t instance_count = 3;
 
 /// What a caller sends.
@@ -89,7 +92,4 @@
     std::uint64_t last_key_ = 0;
 };
 
-/// Whether `condition` becomes true within the limit.
-bool eventually(std::chrono::milliseconds limit, const std::function<bool()>& condition);
-
 }  // namespace poplarfront::daemon
--- a/tests/processes/tier.cpp
+++ b/tests/processes/tier.cpp
@@ -64,18 +64,6 @@
 
 }  // namespace
 
-bool eventually(milliseconds limit, const std::function<bool()>& condition) {
-    constexpr auto poll_interval = milliseconds{20};
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() >= end) {
-            return false;
-        }
-        std::this_thread::sleep_for(poll_interval);
-    }
-    return true;
-}
-
 bool search_view::is_one_version() const {
     // The stand-in's records begin with "version=N".
     const auto expected = "version=" + std::to_string(index_version) + " ";
--- a/tests/processes/tier.h
+++ b/tests/processes/tier.h
@@ -14,14 +14,13 @@
 #include "runtime/fiber_thread.h"
 #include "runtime/http_client.h"
 #include "support/child_process.h"
+#include "support/eventually.h"
 
 namespace poplarfront::process_tests {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-
-/// Calls `condition` until it holds; false if it does not within `limit`.
-bool eventually(milliseconds limit, const std::function<bool()>& condition);
+using test_support::eventually;
 
 /// What a caller sees of a search.
 struct search_view {
