--- a/packages/configuration/internal/section_entries.cpp
+++ b/packages/configuration/internal/section_entries.cpp
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <set>
 
+#include "kernel/numbers.h"
+
 namespace poplarfront::configuration {
 
 std::string to_string(const section_error& error) {
@@ -62,14 +64,12 @@
 kernel::result<std::uint32_t> parse_integer(std::string_view section,
                                             const kernel::ini_entry& entry, std::uint32_t minimum,
                                             std::uint32_t maximum) {
-    std::uint32_t n = 0;
-    const auto* const last = entry.value.data() + entry.value.size();
-    const auto parsed = std::from_chars(entry.value.data(), last, n);
-    if (parsed.ec != std::errc{} || parsed.ptr != last || n < minimum || n > maximum) {
+    const auto n = kernel::parse_number<std::uint32_t>(entry.value);
+    if (!n || *n < minimum || *n > maximum) {
         return refuse(section, entry,
                       fmt::format("must be an integer from {} to {}", minimum, maximum));
     }
-    return n;
+    return *n;
 }
 
 }  // namespace internal
--- a/packages/control_client/internal/command_line.cpp
+++ b/packages/control_client/internal/command_line.cpp
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
+#include "kernel/numbers.h"
 #include "model/identifier.h"
 
 namespace poplarfront::control_client {
@@ -79,13 +79,12 @@
 
 kernel::result<std::uint64_t> parse_number(std::string_view name, std::string_view text,
                                            std::uint64_t minimum, std::uint64_t maximum) {
-    std::uint64_t n = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (ec != std::errc{} || end != text.data() + text.size() || n < minimum || n > maximum) {
+    const auto n = kernel::parse_number<std::uint64_t>(text);
+    if (!n || *n < minimum || *n > maximum) {
         return refuse(std::string{name} + " must be an integer from " + std::to_string(minimum) +
                       " to " + std::to_string(maximum));
     }
-    return n;
+    return *n;
 }
 
 std::vector<std::string> split(std::string_view text) {
--- a/packages/kernel/internal/settings.cpp
+++ b/packages/kernel/internal/settings.cpp
@@ -4,9 +4,10 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cstring>
 
+#include "kernel/numbers.h"
+
 namespace poplarfront::kernel {
 namespace {
 
@@ -53,31 +54,13 @@
     return std::string{text.substr(first, last - first + 1)};
 }
 
-std::optional<std::int64_t> to_integer(std::string_view text) {
-    std::int64_t n = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (ec != std::errc{} || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return n;
-}
-
-std::optional<double> to_decimal(std::string_view text) {
-    double n = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (ec != std::errc{} || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return n;
-}
-
 bool is_address(std::string_view text) {
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos || colon == 0) {
         return false;
     }
     constexpr std::int64_t max_port = 65535;
-    const auto port = to_integer(text.substr(colon + 1));
+    const auto port = parse_number<std::int64_t>(text.substr(colon + 1));
     return port && *port >= 0 && *port <= max_port;
 }
 
@@ -94,7 +77,7 @@
                                      const std::string& value) {
     switch (descriptor.kind) {
         case setting_kind::integer: {
-            const auto n = to_integer(value);
+            const auto n = parse_number<std::int64_t>(value);
             if (!n || *n < descriptor.minimum || *n > descriptor.maximum) {
                 return fmt::format("an integer from {} to {}", descriptor.minimum,
                                    descriptor.maximum);
@@ -102,7 +85,7 @@
             return std::nullopt;
         }
         case setting_kind::decimal: {
-            const auto n = to_decimal(value);
+            const auto n = parse_number<double>(value);
             // A comparison with NaN is false, so it is refused too.
             if (n && *n >= static_cast<double>(descriptor.minimum) &&
                 *n <= static_cast<double>(descriptor.maximum)) {
@@ -196,11 +179,11 @@
 }
 
 std::int64_t settings::integer(std::string_view section, std::string_view key) const {
-    return to_integer(text(section, key)).value_or(0);
+    return parse_number<std::int64_t>(text(section, key)).value_or(0);
 }
 
 double settings::decimal(std::string_view section, std::string_view key) const {
-    return to_decimal(text(section, key)).value_or(0);
+    return parse_number<double>(text(section, key)).value_or(0);
 }
 
 std::vector<std::string> settings::list(std::string_view section, std::string_view key) const {
--- /dev/null
+++ b/packages/kernel/numbers.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <system_error>
+
+namespace poplarfront::kernel {
+
+/// The number that the whole text is; absent if it is none, or out of the type's range.
+/// Thread-safe.
+template <class Number>
+[[nodiscard]] std::optional<Number> parse_number(std::string_view text) {
+    Number n{};
+    const auto* const last = text.data() + text.size();
+    const auto [end, ec] = std::from_chars(text.data(), last, n);
+    return ec == std::errc{} && end == last ? std::optional{n} : std::nullopt;
+}
+
+}  // namespace poplarfront::kernel
--- a/packages/runtime/internal/endpoint.cpp
+++ b/packages/runtime/internal/endpoint.cpp
@@ -1,6 +1,8 @@
 #include "runtime/endpoint.h"
 
-#include <charconv>
+#include <string_view>
+
+#include "kernel/numbers.h"
 
 namespace poplarfront::runtime {
 
@@ -11,13 +13,12 @@
     }
     boost::system::error_code ec;
     const auto ip = boost::asio::ip::make_address(address.substr(0, colon), ec);
-    unsigned short port = 0;
-    const auto* const last = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, last, port);
-    if (ec || parsed.ec != std::errc{} || parsed.ptr != last) {
+    const auto port =
+        kernel::parse_number<unsigned short>(std::string_view{address}.substr(colon + 1));
+    if (ec || !port) {
         return std::nullopt;
     }
-    return boost::asio::ip::tcp::endpoint{ip, port};
+    return boost::asio::ip::tcp::endpoint{ip, *port};
 }
 
 }  // namespace poplarfront::runtime
--- a/packages/store/internal/http_store_client.cpp
+++ b/packages/store/internal/http_store_client.cpp
@@ -3,9 +3,10 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 
+#include "kernel/numbers.h"
+
 namespace poplarfront::store {
 namespace {
 
@@ -17,16 +18,6 @@
 constexpr unsigned status_conflict = 409;
 constexpr unsigned status_service_unavailable = 503;
 
-std::optional<std::uint64_t> version_of(const runtime::http_response& response) {
-    const auto& text = response.etag;
-    std::uint64_t version = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), version);
-    if (text.empty() || ec != std::errc{} || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return version;
-}
-
 /// Whether a status says that the store refused the request before it had an effect.
 bool is_refusal(unsigned status) {
     constexpr unsigned first_client_error = 400;
@@ -52,7 +43,7 @@
     if (result.response.status == status_not_found) {
         return {store_status::ok, {}};
     }
-    const auto version = version_of(result.response);
+    const auto version = kernel::parse_number<std::uint64_t>(result.response.etag);
     if (result.response.status != status_ok || !version) {
         return {failure_of(result), {}};
     }
@@ -63,7 +54,7 @@
     if (result.status != call_status::answered) {
         return {failure_of(result), 0};
     }
-    const auto version = version_of(result.response);
+    const auto version = kernel::parse_number<std::uint64_t>(result.response.etag);
     if (result.response.status == status_ok && version) {
         return {store_status::ok, *version};
     }
--- a/standins/store/internal/store_standin.cpp
+++ b/standins/store/internal/store_standin.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 #include <deque>
 
+#include "kernel/numbers.h"
 #include "standins/store/internal/key_table.h"
 #include "standins/store/internal/target.h"
 
@@ -148,7 +149,7 @@
     }
 
     http_response write(const std::string& key, const http_request& request, const target& parsed) {
-        const auto expected = parse_number(request.if_match);
+        const auto expected = kernel::parse_number<std::uint64_t>(request.if_match);
         const auto lease = parsed.number("lease");
         if (request.body.size() > store::max_value_bytes) {
             return answer(status_too_large);
@@ -209,7 +210,7 @@
     }
 
     http_response change_lease(const std::string& text, const std::string& method) {
-        const auto lease = parse_number(text);
+        const auto lease = kernel::parse_number<std::uint64_t>(text);
         if (!lease || (method != "POST" && method != "DELETE")) {
             return answer(status_bad_request);
         }
--- a/standins/store/internal/target.cpp
+++ b/standins/store/internal/target.cpp
@@ -1,12 +1,13 @@
 #include "standins/store/internal/target.h"
 
-#include <charconv>
+#include "kernel/numbers.h"
 
 namespace poplarfront::standins {
 
 std::optional<std::uint64_t> target::number(const std::string& name) const {
     const auto found = parameters.find(name);
-    return found == parameters.end() ? std::nullopt : parse_number(found->second);
+    return found == parameters.end() ? std::nullopt
+                                     : kernel::parse_number<std::uint64_t>(found->second);
 }
 
 target parse_target(std::string_view text) {
@@ -25,13 +26,4 @@
     return parsed;
 }
 
-std::optional<std::uint64_t> parse_number(std::string_view text) {
-    std::uint64_t n = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (text.empty() || ec != std::errc{} || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
-    return n;
-}
-
 }  // namespace poplarfront::standins
--- a/standins/store/internal/target.h
+++ b/standins/store/internal/target.h
@@ -20,7 +20,4 @@
 
 [[nodiscard]] target parse_target(std::string_view text);
 
-/// The text as a number; nothing if it is not a whole number.
-[[nodiscard]] std::optional<std::uint64_t> parse_number(std::string_view text);
-
 }  // namespace poplarfront::standins
