Keep each order once at its gatherer, and decode messages of instances in one place

A gatherer copied each order with its request into two handlers beside the list of running orders. A session's terms are set once when it is made instead of kept in three members, and the two ends without a reply share their code. No decision changes.

--- a/packages/gateway/gather_order.h
+++ b/packages/gateway/gather_order.h
@@ -35,20 +35,15 @@
     friend auto operator<=>(const gather_order&, const gather_order&) = default;
 };
 
-/// Asks a gatherer for a report that belongs to no order, so that connections are open both ways
-/// before the first order: opening them takes several ways between data centres.
-struct gather_greeting {
-    std::uint64_t number = 0;
-    std::string reply_to;
-    friend auto operator<=>(const gather_greeting&, const gather_greeting&) = default;
-};
-
-/// Tells a gatherer that its first report has arrived. Before that another instance may get the
-/// order too, and both together keep to the attempts of the route.
-struct gather_confirmation {
+/// Names an order. As a greeting it names none yet, and asks for a report so that connections are
+/// open both ways before the first order: opening them takes several ways between data centres. As
+/// a confirmation it tells a gatherer that its first report has arrived: before that another
+/// instance may get the order too, and both together keep to the attempts of the route.
+struct order_reference {
     std::uint64_t number = 0;
+    /// IP:PORT for the reports.
     std::string reply_to;
-    friend auto operator<=>(const gather_confirmation&, const gather_confirmation&) = default;
+    friend auto operator<=>(const order_reference&, const order_reference&) = default;
 };
 
 /// Withdraws an order.
--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -58,18 +58,13 @@
           view_(std::move(view)),
           route_(route),
           request_(std::move(request)),
-          given_terms_(terms) {}
+          terms_(terms ? *terms : state.terms_of(route, request_, gather_place::here)) {}
 
     ~request_session() { leave_wait_lists(); }
     request_session(const request_session&) = delete;
     request_session& operator=(const request_session&) = delete;
 
     void start(kernel::time_point now) {
-        terms_ =
-            given_terms_ ? *given_terms_ : state_.terms_of(route_, request_, gather_place::here);
-        if (most_attempts_) {
-            terms_.max_attempts = *most_attempts_;
-        }
         choose_parts();
         summary_.configuration_version = view_->configuration->version;
         summary_.shards = static_cast<std::uint32_t>(parts_.size());
@@ -88,10 +83,7 @@
     }
 
     /// Sets how many backend servers may get the request, for each shard.
-    void set_max_attempts(std::uint32_t attempts) {
-        most_attempts_ = attempts;
-        terms_.max_attempts = attempts;
-    }
+    void set_max_attempts(std::uint32_t attempts) { terms_.max_attempts = attempts; }
 
     void on_result(attempt_number number, attempt_result result, kernel::time_point now) {
         auto& attempt = attempts_.at(number);
@@ -672,24 +664,24 @@
             pass_on(std::move(*first.reply));
             return;
         }
-        if (nothing_ran()) {
-            refuse("no backend server took the request");
-            return;
-        }
-        gateway_answer answer;
-        answer.kind = answer_kind::failed;
-        answer.reason = is_gather() ? "too few shards answered" : "the reply was lost";
-        finish(std::move(answer));
+        end_without_reply(answer_kind::failed, "no backend server took the request",
+                          is_gather() ? "too few shards answered" : "the reply was lost");
     }
 
     void end_in_time() {
+        end_without_reply(answer_kind::timed_out, "no backend server was free in time",
+                          is_gather() ? "too few shards answered in time" : "no reply in time");
+    }
+
+    void end_without_reply(answer_kind kind, std::string_view reason_if_not_run,
+                           std::string_view reason) {
         if (nothing_ran()) {
-            refuse("no backend server was free in time");
+            refuse(reason_if_not_run);
             return;
         }
         gateway_answer answer;
-        answer.kind = answer_kind::timed_out;
-        answer.reason = is_gather() ? "too few shards answered in time" : "no reply in time";
+        answer.kind = kind;
+        answer.reason = reason;
         finish(std::move(answer));
     }
 
@@ -738,9 +730,7 @@
     client_request request_;
     std::vector<shard_part> parts_;
     std::vector<backend_attempt> attempts_;
-    std::optional<session_terms> given_terms_;
     session_terms terms_;
-    std::optional<std::uint32_t> most_attempts_;
     std::optional<kernel::time_point> refuse_at_;
     std::optional<kernel::time_point> settle_at_;
     std::optional<kernel::time_point> abandon_at_;
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "daemon/decoded_messages.h"
 #include "daemon/instance_identity.h"
 #include "daemon/peer_link.h"
 #include "kernel/module_registration.h"
@@ -122,56 +123,40 @@
                 std::make_unique<order_book>(link, identity->peer_address, it, contexts_.size());
             services.push_back(std::make_shared<gather_service<Protocol>>(contexts_[it], link));
         }
-        receive<gateway::gather_order>(
-            *link, wire::message_kind::gather_order, wire::decode_gather_order,
-            [services](std::size_t at, const auto& order, const std::string& sender) {
-                services[at]->on_order(order, sender);
-            });
-        receive<gateway::gather_greeting>(
-            *link, wire::message_kind::gather_greeting, wire::decode_gather_greeting,
-            [services](std::size_t at, const auto& greeting, const std::string&) {
-                services[at]->on_greeting(greeting);
-            });
-        receive<gateway::gather_confirmation>(
-            *link, wire::message_kind::gather_confirmation, wire::decode_gather_confirmation,
-            [services](std::size_t at, const auto& confirmation, const std::string&) {
-                services[at]->on_confirmation(confirmation);
-            });
-        receive<gateway::gather_cancel>(
-            *link, wire::message_kind::gather_cancel, wire::decode_gather_cancel,
-            [services](std::size_t at, const auto& cancel, const std::string&) {
-                services[at]->on_cancel(cancel);
-            });
-        receive<gateway::gather_report>(
-            *link, wire::message_kind::gather_report, wire::decode_gather_report,
-            [contexts = contexts_](std::size_t at, const auto& report, const std::string&) {
-                contexts[at]->orders->on_report(report);
-            });
+        receive(*link, wire::message_kind::gather_order, wire::decode_gather_order,
+                [services](std::size_t at, const auto& order, const std::string& sender) {
+                    services[at]->on_order(order, sender);
+                });
+        receive(*link, wire::message_kind::gather_greeting, wire::decode_order_reference,
+                [services](std::size_t at, const auto& greeting, const std::string&) {
+                    services[at]->on_greeting(greeting);
+                });
+        receive(*link, wire::message_kind::gather_confirmation, wire::decode_order_reference,
+                [services](std::size_t at, const auto& confirmation, const std::string&) {
+                    services[at]->on_confirmation(confirmation);
+                });
+        receive(*link, wire::message_kind::gather_cancel, wire::decode_gather_cancel,
+                [services](std::size_t at, const auto& cancel, const std::string&) {
+                    services[at]->on_cancel(cancel);
+                });
+        receive(*link, wire::message_kind::gather_report, wire::decode_gather_report,
+                [contexts = contexts_](std::size_t at, const auto& report, const std::string&) {
+                    contexts[at]->orders->on_report(report);
+                });
     }
 
     /// Passes messages of one kind to the traffic thread that their number belongs to.
-    template <class Message, class Decoder, class Handler>
+    template <class Decoder, class Handler>
     void receive(daemon::peer_link& link, wire::message_kind kind, Decoder decode,
                  Handler handler) {
-        link.on(kind, [contexts = contexts_, decode, handler](const wire::envelope& message) {
-            const auto decoded = kernel::handle<wire::wire_error>(
-                [&]() -> kernel::result<std::optional<Message>> {
-                    BOOST_LEAF_AUTO(value, decode(message.payload));
-                    return std::optional{std::move(value)};
-                },
-                [&](const wire::wire_error& error) -> std::optional<Message> {
-                    log_message_refused(message.sender.text(), error.field, error.message);
-                    return std::nullopt;
-                });
-            if (decoded) {
-                const auto at = static_cast<std::size_t>(decoded->number % contexts.size());
-                boost::asio::dispatch(
-                    contexts[at]->thread->context(),
-                    [handler, at, value = *decoded, sender = message.sender.text()] {
-                        handler(at, value, sender);
-                    });
-            }
-        });
+        link.on(kind, daemon::decoded(decode, [contexts = contexts_, handler](
+                                                  auto value, const std::string& sender) {
+                    const auto at = static_cast<std::size_t>(value.number % contexts.size());
+                    boost::asio::dispatch(contexts[at]->thread->context(),
+                                          [handler, at, value = std::move(value), sender] {
+                                              handler(at, value, sender);
+                                          });
+                }));
     }
 
     void add_conditions(kernel::module_context& context, const fleet_publisher::view_ptr& view) {
--- a/packages/proxy/gather_service.h
+++ b/packages/proxy/gather_service.h
@@ -33,24 +33,20 @@
         if (const auto reason = reason_to_refuse(order, *view, route); !reason.empty()) {
             shared_->state.counters().add("order_refused");
             log_order_refused(order, sender, reason);
-            gateway::gather_report refusal;
-            report(order, refusal);
+            report({order.reply_to, order.number}, {});
             return;
         }
         start(order, sender, view, *route);
     }
 
-    void on_greeting(const gateway::gather_greeting& greeting) {
-        gateway::gather_report report;
-        report.number = greeting.number;
-        link_->send(greeting.reply_to, wire::message_kind::gather_report,
-                    wire::encode_gather_report(report));
+    void on_greeting(const gateway::order_reference& greeting) {
+        report({greeting.reply_to, greeting.number}, {});
     }
 
-    void on_confirmation(const gateway::gather_confirmation& confirmation) {
+    void on_confirmation(const gateway::order_reference& confirmation) {
         const auto it = running_.find({confirmation.reply_to, confirmation.number});
         if (it != running_.end()) {
-            it->second.request->set_max_attempts(it->second.max_attempts);
+            it->second.request->set_max_attempts(it->second.order.max_attempts);
         }
     }
 
@@ -61,7 +57,7 @@
         const auto it = running_.find({cancel.reply_to, cancel.number});
         if (it != running_.end()) {
             const auto request = it->second.request;
-            end(it->first);
+            end(it);
             request->on_client_gone();
         }
     }
@@ -70,10 +66,12 @@
     /// The address of the asking instance, and its number of the order.
     using order_key = std::pair<std::string, std::uint64_t>;
     struct running_order {
+        gateway::gather_order order;
+        std::string sender;
         std::shared_ptr<proxied_request<Protocol>> request;
         std::unique_ptr<boost::asio::steady_timer> reminder;
-        std::uint32_t max_attempts = 1;
     };
+    using running_orders = std::map<order_key, running_order>;
 
     static kernel::time_point now() { return kernel::time_point::clock::now(); }
 
@@ -109,42 +107,41 @@
         const order_key key{order.reply_to, order.number};
         auto request = proxied_request<Protocol>::create_for_order(
             *shared_, std::move(view), route, std::move(received), terms,
-            [weak = this->weak_from_this(), order, sender](gateway::gateway_answer answer) {
+            [weak = this->weak_from_this(), key](gateway::gateway_answer answer) {
                 if (const auto self = weak.lock()) {
-                    self->on_answer(order, sender, std::move(answer));
+                    self->on_answer(key, std::move(answer));
                 }
             });
         auto reminder = std::make_unique<boost::asio::steady_timer>(shared_->thread->context());
-        remind(*reminder, order, terms);
-        running_.emplace(key, running_order{request, std::move(reminder), order.max_attempts});
+        remind(*reminder, key, terms);
+        running_.emplace(key, running_order{order, sender, request, std::move(reminder)});
         ++shared_->open_orders;
-        report_at_work(order, order.left_to_answer);
+        report_at_work(key, order.left_to_answer);
         request->start();
     }
 
     /// Tells the asking instance when the answer takes longer than it wished.
-    void remind(boost::asio::steady_timer& timer, const gateway::gather_order& order,
+    void remind(boost::asio::steady_timer& timer, const order_key& key,
                 const gateway::session_terms& terms) {
         timer.expires_at(terms.answer_at);
-        timer.async_wait([weak = this->weak_from_this(), order,
-                          terms](const boost::system::error_code& ec) {
-            const auto self = weak.lock();
-            if (!ec && self != nullptr && self->running_.contains({order.reply_to, order.number})) {
-                self->report_at_work(order, terms.ends_at - now());
-            }
-        });
+        timer.async_wait(
+            [weak = this->weak_from_this(), key, terms](const boost::system::error_code& ec) {
+                const auto self = weak.lock();
+                if (!ec && self != nullptr && self->running_.contains(key)) {
+                    self->report_at_work(key, terms.ends_at - now());
+                }
+            });
     }
 
-    void report_at_work(const gateway::gather_order& order, kernel::duration next_report) {
+    void report_at_work(const order_key& key, kernel::duration next_report) {
         gateway::gather_report at_work;
         at_work.what = gateway::gather_report::outcome::at_work;
         at_work.next_report = next_report;
-        report(order, at_work);
+        report(key, std::move(at_work));
     }
 
-    void on_answer(const gateway::gather_order& order, const std::string& sender,
-                   gateway::gateway_answer answer) {
-        const auto it = running_.find({order.reply_to, order.number});
+    void on_answer(const order_key& key, gateway::gateway_answer answer) {
+        const auto it = running_.find(key);
         if (it == running_.end()) {
             return;
         }
@@ -152,27 +149,28 @@
         answered.what = gateway::gather_report::outcome::answered;
         answered.when_due = it->second.request->answered_when_due().has_value();
         answered.answer = std::move(answer);
-        log_order_answered(order, sender, answered.answer);
-        end(it->first);
-        report(order, answered);
+        log_order_answered(it->second.order, it->second.sender, answered.answer);
+        end(it);
+        report(key, std::move(answered));
     }
 
-    void end(const order_key& key) {
-        running_.erase(key);
+    void end(typename running_orders::iterator order) {
+        running_.erase(order);
         --shared_->open_orders;
     }
 
-    void report(const gateway::gather_order& order, gateway::gather_report& report) {
-        report.number = order.number;
+    void report(const order_key& key, gateway::gather_report report) {
+        const auto& [reply_to, number] = key;
+        report.number = number;
         report.load = static_cast<double>(running_.size()) /
                       static_cast<double>(shared_->state.options().max_orders);
-        link_->send(order.reply_to, wire::message_kind::gather_report,
+        link_->send(reply_to, wire::message_kind::gather_report,
                     wire::encode_gather_report(report));
     }
 
     std::shared_ptr<traffic_context<Protocol>> shared_;
     std::shared_ptr<daemon::peer_link> link_;
-    std::map<order_key, running_order> running_;
+    running_orders running_;
 };
 
 }  // namespace poplarfront::proxy
--- a/packages/proxy/internal/order_book.cpp
+++ b/packages/proxy/internal/order_book.cpp
@@ -8,7 +8,7 @@
     for (const auto& it : addresses) {
         if (!greeted_.contains(it)) {
             link_->send(it, wire::message_kind::gather_greeting,
-                        wire::encode_gather_greeting({next_number(), reply_to_}));
+                        wire::encode_order_reference({next_number(), reply_to_}));
         }
     }
     greeted_ = addresses;
@@ -25,7 +25,7 @@
 
 void order_book::confirm(std::uint64_t number, const std::string& address) {
     link_->send(address, wire::message_kind::gather_confirmation,
-                wire::encode_gather_confirmation({number, reply_to_}));
+                wire::encode_order_reference({number, reply_to_}));
 }
 
 void order_book::withdraw(std::uint64_t number, const std::string& address, bool unheard) {
--- a/packages/proxy/internal/request_log.cpp
+++ b/packages/proxy/internal/request_log.cpp
@@ -48,12 +48,6 @@
                  order.request_id, sender, reason, order.configuration_version);
 }
 
-void log_message_refused(std::string_view sender, std::string_view field,
-                         std::string_view message) {
-    spdlog::warn("event=peer_message from={} outcome=refused field={} message=\"{}\"", sender,
-                 field, message);
-}
-
 void log_client_gone(const gateway::client_request& request, const gateway::route& route,
                      const gateway::request_summary& summary, kernel::duration elapsed) {
     spdlog::info(
--- a/packages/proxy/request_log.h
+++ b/packages/proxy/request_log.h
@@ -24,9 +24,6 @@
 void log_order_refused(const gateway::gather_order& order, const std::string& sender,
                        std::string_view reason);
 
-/// Writes the line for a message of another instance that cannot be read. Thread-safe.
-void log_message_refused(std::string_view sender, std::string_view field, std::string_view message);
-
 /// Writes the line for a request that was answered without a route or a decision. Thread-safe.
 void log_refused(std::string_view id, unsigned status, std::string_view reason);
 
--- a/packages/wire/gather_codec.h
+++ b/packages/wire/gather_codec.h
@@ -17,11 +17,8 @@
 std::string encode_gather_order(const gateway::gather_order& order);
 kernel::result<gateway::gather_order> decode_gather_order(std::string_view bytes);
 
-std::string encode_gather_greeting(const gateway::gather_greeting& greeting);
-kernel::result<gateway::gather_greeting> decode_gather_greeting(std::string_view bytes);
-
-std::string encode_gather_confirmation(const gateway::gather_confirmation& confirmation);
-kernel::result<gateway::gather_confirmation> decode_gather_confirmation(std::string_view bytes);
+std::string encode_order_reference(const gateway::order_reference& reference);
+kernel::result<gateway::order_reference> decode_order_reference(std::string_view bytes);
 
 std::string encode_gather_cancel(const gateway::gather_cancel& cancel);
 kernel::result<gateway::gather_cancel> decode_gather_cancel(std::string_view bytes);
--- a/packages/wire/internal/gather_codec.cpp
+++ b/packages/wire/internal/gather_codec.cpp
@@ -124,28 +124,16 @@
     return order;
 }
 
-std::string encode_gather_greeting(const gateway::gather_greeting& greeting) {
-    proto::GatherGreeting message;
-    message.set_number(greeting.number);
-    message.set_reply_to(greeting.reply_to);
+std::string encode_order_reference(const gateway::order_reference& reference) {
+    proto::OrderReference message;
+    message.set_number(reference.number);
+    message.set_reply_to(reference.reply_to);
     return message.SerializeAsString();
 }
 
-kernel::result<gateway::gather_greeting> decode_gather_greeting(std::string_view bytes) {
-    BOOST_LEAF_AUTO(message, internal::parse_message<proto::GatherGreeting>(bytes));
-    return gateway::gather_greeting{message.number(), message.reply_to()};
-}
-
-std::string encode_gather_confirmation(const gateway::gather_confirmation& confirmation) {
-    proto::GatherConfirmation message;
-    message.set_number(confirmation.number);
-    message.set_reply_to(confirmation.reply_to);
-    return message.SerializeAsString();
-}
-
-kernel::result<gateway::gather_confirmation> decode_gather_confirmation(std::string_view bytes) {
-    BOOST_LEAF_AUTO(message, internal::parse_message<proto::GatherConfirmation>(bytes));
-    return gateway::gather_confirmation{message.number(), message.reply_to()};
+kernel::result<gateway::order_reference> decode_order_reference(std::string_view bytes) {
+    BOOST_LEAF_AUTO(message, internal::parse_message<proto::OrderReference>(bytes));
+    return gateway::order_reference{message.number(), message.reply_to()};
 }
 
 std::string encode_gather_cancel(const gateway::gather_cancel& cancel) {
--- a/packages/wire/tests/gather_codec_test.cpp
+++ b/packages/wire/tests/gather_codec_test.cpp
@@ -40,11 +40,10 @@
     order.without_reply_body = true;
     order.max_attempts = 2;
     CHECK(decode_gather_order(encode_gather_order(order)).value() == order);
-    const gateway::gather_greeting greeting{8, "127.0.0.1:5"};
-    CHECK(decode_gather_greeting(encode_gather_greeting(greeting)).value() == greeting);
-    const gateway::gather_confirmation confirmation{7, "127.0.0.1:5"};
-    CHECK(decode_gather_confirmation(encode_gather_confirmation(confirmation)).value() ==
-          confirmation);
+    const gateway::order_reference greeting{8, "127.0.0.1:5"};
+    CHECK(decode_order_reference(encode_order_reference(greeting)).value() == greeting);
+    const gateway::order_reference confirmation{7, "127.0.0.1:5"};
+    CHECK(decode_order_reference(encode_order_reference(confirmation)).value() == confirmation);
     const gateway::gather_cancel cancel{7, "127.0.0.1:5", true};
     CHECK(decode_gather_cancel(encode_gather_cancel(cancel)).value() == cancel);
 }
