--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -159,6 +159,10 @@
     }
     [[nodiscard]] bool is_gather() const { return plan() != nullptr; }
     [[nodiscard]] const client_request& request() const { return request_; }
+    /// The backend server of an attempt. Precondition: the attempt was sent.
+    [[nodiscard]] const backend_entry& backend_of(attempt_number attempt) const {
+        return *attempts_.at(attempt).backend;
+    }
     [[nodiscard]] const route& request_route() const { return route_; }
     [[nodiscard]] const request_summary& summary() const { return summary_; }
 
--- a/packages/proxy/internal/request_log.cpp
+++ b/packages/proxy/internal/request_log.cpp
@@ -49,6 +49,13 @@
                  gather.request_id, sender, reason, gather.configuration_version);
 }
 
+void log_attempt_lost(const gateway::client_request& request, const gateway::backend_entry& backend,
+                      bool finished) {
+    spdlog::info(
+        "event=attempt_lost request={} fingerprint={:016x} server={} service={} after_answer={}",
+        request.id, request.fingerprint, backend.id.text(), backend.service.text(), finished);
+}
+
 void log_client_disconnected(const gateway::client_request& request, const gateway::route& route,
                              const gateway::request_summary& summary, kernel::duration elapsed) {
     spdlog::info(
--- a/packages/proxy/proxied_request.h
+++ b/packages/proxy/proxied_request.h
@@ -9,6 +9,7 @@
 #include "gateway/request_session.h"
 #include "proxy/backend_session_transport.h"
 #include "proxy/peer_delegation_transport.h"
+#include "proxy/request_log.h"
 #include "proxy/traffic_context.h"
 
 namespace poplarfront::proxy {
@@ -100,6 +101,10 @@
         created->session_transport_.set_result_handler_factory(
             [weak = created->weak_from_this()](gateway::attempt_number attempt) {
                 return [self = weak.lock(), attempt](gateway::attempt_result result) {
+                    if (result.end == gateway::attempt_end::lost) {
+                        log_attempt_lost(self->request(), self->session_.backend_of(attempt),
+                                         self->session_.finished());
+                    }
                     self->session_.on_result(attempt, std::move(result), now());
                     self->arm_timer();
                 };
--- a/packages/proxy/request_log.h
+++ b/packages/proxy/request_log.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <string_view>
 
+#include "gateway/backend_entry.h"
 #include "gateway/client_request.h"
 #include "gateway/delegated_gather.h"
 #include "gateway/gateway_answer.h"
@@ -14,6 +15,11 @@
 void log_answer(const gateway::client_request& request, const gateway::route& route,
                 const gateway::gateway_answer& answer, kernel::duration elapsed);
 
+/// Logs a connection to `backend` that was lost while it may have been executing a request.
+/// `finished`: the client was answered or had disconnected before. Thread-safe.
+void log_attempt_lost(const gateway::client_request& request, const gateway::backend_entry& backend,
+                      bool finished);
+
 /// Logs a request whose client disconnected before the answer. Thread-safe.
 void log_client_disconnected(const gateway::client_request& request, const gateway::route& route,
                              const gateway::request_summary& summary, kernel::duration elapsed);
