Distinguish a closed connection from bytes that are not a reply

A backend server that sends wrong bytes is alive, but its replies counted as connections lost to a crash. attempt_end::malformed is handled like lost for retries and replica statistics, and is not a crash symptom.

--- a/packages/gateway/backend_reply.h
+++ b/packages/gateway/backend_reply.h
@@ -50,9 +50,10 @@
     replied,
     /// No byte of the request was sent.
     not_sent,
-    /// The connection was closed, or bytes arrived that are not a reply to this request, after a
-    /// part of the request may have been sent.
+    /// The connection was closed after a part of the request may have been sent.
     lost,
+    /// Bytes arrived that are not a reply to this request.
+    malformed,
     /// No reply arrived in time, after a part of the request may have been sent.
     timed_out,
 };
@@ -65,6 +66,8 @@
             return "not_sent";
         case attempt_end::lost:
             return "lost";
+        case attempt_end::malformed:
+            return "malformed";
         case attempt_end::timed_out:
             return "timed_out";
     }
--- a/packages/proxy/backend_pool.h
+++ b/packages/proxy/backend_pool.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <cerrno>
 #include <charconv>
@@ -191,7 +192,7 @@
             return;
         }
         if (ec) {
-            end_call(connection, {gateway::attempt_end::lost, {}});
+            end_call(connection, {end_of_failed_read(ec), {}});
             return;
         }
         const bool reusable = connection->parser->get().keep_alive() && connection->written &&
@@ -202,7 +203,7 @@
         auto reply = Protocol::decode_backend_reply(
             std::move(message), connection->call->request_id, connection->call->fields);
         if (!reply) {
-            end_call(connection, {gateway::attempt_end::lost, {}});
+            end_call(connection, {gateway::attempt_end::malformed, {}});
             return;
         }
         auto call = std::move(*connection->call);
@@ -216,6 +217,14 @@
         call.on_result({gateway::attempt_end::replied, std::move(*reply)});
     }
 
+    static gateway::attempt_end end_of_failed_read(const error_code& ec) {
+        using boost::beast::http::error;
+        const bool parse_error = ec.category() == make_error_code(error::bad_version).category();
+        const bool closed =
+            !parse_error || ec == error::end_of_stream || ec == error::partial_message;
+        return closed ? gateway::attempt_end::lost : gateway::attempt_end::malformed;
+    }
+
     [[nodiscard]] kernel::duration idle_timeout(const http_response& message) const {
         constexpr std::string_view timeout_parameter = "timeout=";
         const std::string_view field{message[boost::beast::http::field::keep_alive].data(),
