Count every crash of a request, and clear it only by a reply of its service

Callers saw backend servers end under the same request again and again. One instance missed crashes: those after the answer or the client's leaving (on_result ignored the result), all but the first lost attempt of a request, and those of a server that restarted under its id. A reply of any other shard of a gather cleared the request, so that one crashing shard was never seen.

gateway::crash_quarantine replaces the use of routing::crash_quarantine, whose option for this purpose is removed. A crash is recorded by service and process (id and start time); only an executed reply of the same service disproves it. A quarantined request is released by a trial: one attempt at one backend server, before all other parts of a gather; two trials at most.

--- /dev/null
+++ b/packages/gateway/internal/crash_quarantine.cpp
@@ -0,0 +1,209 @@
+#include "gateway/crash_quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarfront::gateway {
+
+void crash_quarantine::on_table(std::shared_ptr<const crash_table> table, kernel::time_point now) {
+    if (table == table_ || table == nullptr) {
+        return;
+    }
+    const auto before = std::exchange(table_, std::move(table));
+    for (const auto& [fingerprint, request] : table_->requests) {
+        if (before == nullptr || !before->requests.contains(fingerprint) ||
+            before->requests.at(fingerprint) != request) {
+            entries_[fingerprint].changed_at = now;
+        }
+    }
+    for (auto it = entries_.begin(); it != entries_.end();) {
+        auto& [fingerprint, found] = *it;
+        const auto* request = shared(fingerprint);
+        // A published crash is from now on removed with the common record.
+        std::erase_if(found.unpublished, [&](const auto& crash) {
+            return request != nullptr && request->crashes.contains(crash.first);
+        });
+        std::erase_if(found.disproved, [&](const auto& crash) {
+            return request == nullptr || !request->crashes.contains(crash);
+        });
+        const bool needed = request != nullptr || !found.unpublished.empty() || found.trial;
+        it = needed ? std::next(it) : entries_.erase(it);
+    }
+}
+
+void crash_quarantine::on_crash(const crash_record& record, kernel::time_point now) {
+    remove_expired(now);
+    const auto known = crashes_of(record.fingerprint);
+    if (known.contains(record) ||
+        (entries_.size() >= options_.max_requests && !entries_.contains(record.fingerprint))) {
+        return;
+    }
+    auto& found = entries_[record.fingerprint];
+    found.disproved.erase(record);
+    found.changed_at = now;
+    const auto* request = shared(record.fingerprint);
+    if (request == nullptr || !request->crashes.contains(record)) {
+        found.unpublished.emplace(record, now);
+    }
+    publish({{record}, {}, {}});
+}
+
+void crash_quarantine::on_executed(request_fingerprint fingerprint,
+                                   const model::service_id& service, kernel::time_point now) {
+    if (is_clean()) {
+        return;
+    }
+    auto crashes = crashes_of(fingerprint);
+    std::erase_if(crashes, [&](const auto& it) { return it.service != service; });
+    if (!crashes.empty()) {
+        disprove(fingerprint, crashes, {}, now);
+    }
+}
+
+crash_quarantine::admission crash_quarantine::admit(request_fingerprint fingerprint,
+                                                    kernel::time_point now) {
+    if (!quarantined(fingerprint)) {
+        return admission::allowed;
+    }
+    auto& found = entries_[fingerprint];
+    if (now - found.changed_at >= options_.refresh_age) {
+        found.changed_at = now;
+        publish({crashes_of(fingerprint), {}, {}});
+    }
+    return !found.trial && next_trial(fingerprint, now) ? admission::trial_due : admission::refused;
+}
+
+bool crash_quarantine::suspected_at(request_fingerprint fingerprint,
+                                    const model::service_id& service) const {
+    const auto crashes = crashes_of(fingerprint);
+    return std::any_of(crashes.begin(), crashes.end(),
+                       [&](const auto& it) { return it.service == service; });
+}
+
+void crash_quarantine::claim_trial(request_fingerprint fingerprint,
+                                   trial_decision_handler on_decision) {
+    const auto* request = shared(fingerprint);
+    const auto last = request == nullptr || request->trials.empty() ? 0 : *request->trials.rbegin();
+    auto& found = entries_[fingerprint];
+    found.trial = crash_trial{fingerprint, last + 1};
+    found.on_trial_decision = std::move(on_decision);
+    if (publication_.claim_trial) {
+        publication_.claim_trial(*found.trial);
+    }
+}
+
+void crash_quarantine::abandon_trial(request_fingerprint fingerprint) {
+    if (const auto it = entries_.find(fingerprint); it != entries_.end()) {
+        it->second.on_trial_decision = nullptr;
+    }
+}
+
+void crash_quarantine::on_trial_decision(const crash_trial& trial, bool granted,
+                                         kernel::time_point now) {
+    const auto it = entries_.find(trial.fingerprint);
+    if (it == entries_.end() || it->second.trial != trial) {
+        return;
+    }
+    const auto handler = std::exchange(it->second.on_trial_decision, nullptr);
+    if (!granted) {
+        it->second.trial.reset();
+        it->second.changed_at = now;
+    } else if (!handler) {
+        on_trial_ended(trial.fingerprint, trial_outcome::not_run, now);
+    }
+    if (handler) {
+        handler(granted, now);
+    }
+}
+
+void crash_quarantine::on_trial_ended(request_fingerprint fingerprint, trial_outcome outcome,
+                                      kernel::time_point now) {
+    const auto it = entries_.find(fingerprint);
+    if (it == entries_.end() || !it->second.trial) {
+        return;
+    }
+    std::set<crash_trial> trials{*std::exchange(it->second.trial, std::nullopt)};
+    it->second.changed_at = now;
+    switch (outcome) {
+        case trial_outcome::survived:
+            if (const auto* request = shared(fingerprint)) {
+                for (const auto number : request->trials) {
+                    trials.insert({fingerprint, number});
+                }
+            }
+            disprove(fingerprint, crashes_of(fingerprint), std::move(trials), now);
+            return;
+        case trial_outcome::not_run:
+            publish({{}, {}, std::move(trials)});
+            return;
+        case trial_outcome::failed:
+            return;
+    }
+}
+
+const suspected_request* crash_quarantine::shared(request_fingerprint fingerprint) const {
+    if (table_ == nullptr) {
+        return nullptr;
+    }
+    const auto it = table_->requests.find(fingerprint);
+    return it == table_->requests.end() ? nullptr : &it->second;
+}
+
+std::set<crash_record> crash_quarantine::crashes_of(request_fingerprint fingerprint) const {
+    std::set<crash_record> crashes;
+    if (const auto* request = shared(fingerprint)) {
+        crashes = request->crashes;
+    }
+    if (const auto it = entries_.find(fingerprint); it != entries_.end()) {
+        std::erase_if(crashes,
+                      [&](const auto& crash) { return it->second.disproved.contains(crash); });
+        for (const auto& [crash, observed_at] : it->second.unpublished) {
+            crashes.insert(crash);
+        }
+    }
+    return crashes;
+}
+
+std::optional<crash_trial> crash_quarantine::next_trial(request_fingerprint fingerprint,
+                                                        kernel::time_point now) const {
+    const auto* request = shared(fingerprint);
+    const auto done = request == nullptr ? 0 : request->trials.size();
+    const auto it = entries_.find(fingerprint);
+    if (done >= options_.trial_delays.size() ||
+        (it != entries_.end() && now - it->second.changed_at < options_.trial_delays.at(done))) {
+        return std::nullopt;
+    }
+    const auto last = done == 0 ? 0 : *request->trials.rbegin();
+    return crash_trial{fingerprint, last + 1};
+}
+
+void crash_quarantine::disprove(request_fingerprint fingerprint,
+                                const std::set<crash_record>& crashes, std::set<crash_trial> trials,
+                                kernel::time_point now) {
+    auto& found = entries_[fingerprint];
+    const auto* request = shared(fingerprint);
+    for (const auto& it : crashes) {
+        found.unpublished.erase(it);
+        if (request != nullptr && request->crashes.contains(it)) {
+            found.disproved.insert(it);
+        }
+    }
+    found.changed_at = now;
+    publish({{}, crashes, std::move(trials)});
+    if (request == nullptr && found.unpublished.empty() && !found.trial) {
+        entries_.erase(fingerprint);
+    }
+}
+
+void crash_quarantine::remove_expired(kernel::time_point now) {
+    for (auto it = entries_.begin(); it != entries_.end();) {
+        std::erase_if(it->second.unpublished, [&](const auto& crash) {
+            return now - crash.second >= options_.unpublished_lifetime;
+        });
+        const bool needed =
+            shared(it->first) != nullptr || !it->second.unpublished.empty() || it->second.trial;
+        it = needed ? std::next(it) : entries_.erase(it);
+    }
+}
+
+}  // namespace poplarfront::gateway
--- a/packages/gateway/request_part.h
+++ b/packages/gateway/request_part.h
@@ -29,6 +29,8 @@
     /// Points into the fleet view that the session owns. Never null.
     const backend_list* backends = nullptr;
     part_state state = part_state::open;
+    /// Whether the request was sent for this part, or waits for a free connection.
+    bool started = false;
     /// Backend servers that the request was sent to, except unreachable ones.
     std::vector<model::server_id> tried;
     /// Backend servers that are not tried again, because they could not be reached or their address
--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -61,7 +61,10 @@
           request_(std::move(request)),
           limits_(limits ? *limits : state.limits_for(route, request_, gather_location::local)) {}
 
-    ~request_session() { leave_wait_lists(); }
+    ~request_session() {
+        leave_wait_lists();
+        abandon_trial_claim();
+    }
     request_session(const request_session&) = delete;
     request_session& operator=(const request_session&) = delete;
 
@@ -69,18 +72,17 @@
         create_parts();
         summary_.configuration_version = view_->configuration->version;
         summary_.shards = static_cast<std::uint32_t>(parts_.size());
-        if (state_.quarantine().quarantined(request_.fingerprint, now)) {
-            refuse("the request has crashed backend servers");
-            return;
-        }
-        for (std::size_t it = 0; it < parts_.size(); ++it) {
-            budget_of(parts_[it], now).on_primary(now);
-            send_or_wait(it, now);
-            if (finished_) {
+        switch (state_.quarantine().admit(request_.fingerprint, now)) {
+            case crash_quarantine::admission::allowed:
+                send_unsent_parts(now);
+                return;
+            case crash_quarantine::admission::refused:
+                refuse(crashed_reason);
+                return;
+            case crash_quarantine::admission::trial_due:
+                claim_trial(now);
                 return;
-            }
         }
-        answer_if_settled(now);
     }
 
     /// Sets the maximum number of backend servers that get the request, for each shard.
@@ -95,8 +97,12 @@
         auto& part = parts_[attempt.part];
         --part.in_flight;
         record_result(attempt, result, now);
+        const bool trial_survived = record_crash_evidence(attempt, result, now);
         if (!finished_ && part.state == part_state::open) {
             apply_result(attempt, std::move(result), now);
+            if (trial_survived) {
+                send_unsent_parts(now);
+            }
             answer_if_settled(now);
         }
         state_.wake_one(part.service, now);
@@ -107,6 +113,7 @@
         if (finished_) {
             return;
         }
+        leave_trial(now);
         finished_ = true;
         leave_wait_lists();
         if (route_.kind == retry_safety::safe) {
@@ -142,6 +149,11 @@
             cancel_open_attempts(now);
             return;
         }
+        if (trial_ == trial_state::claimed && wait_deadline_ && now >= *wait_deadline_) {
+            refuse(crashed_reason);
+            abandon_trial_claim();
+            return;
+        }
         for (std::size_t it = 0; it < parts_.size(); ++it) {
             if (parts_[it].overdue_at && *parts_[it].overdue_at <= now) {
                 hedge(it, now);
@@ -196,8 +208,102 @@
         return state_.budget_of(part.service, *view_, now);
     }
 
+    // Trial of a quarantined request
+
+    enum class trial_state { none, claimed, running };
+
+    static constexpr std::string_view crashed_reason = "the request has crashed backend servers";
+
+    void claim_trial(kernel::time_point now) {
+        trial_ = trial_state::claimed;
+        wait_deadline_ = now + state_.quarantine().options().trial_claim_timeout;
+        state_.quarantine().claim_trial(request_.fingerprint,
+                                        [this](bool granted, kernel::time_point decided_at) {
+                                            on_trial_decision(granted, decided_at);
+                                        });
+    }
+
+    /// Sends the request to one backend server if the trial is granted, and refuses it otherwise.
+    void on_trial_decision(bool granted, kernel::time_point now) {
+        wait_deadline_.reset();
+        if (!granted) {
+            trial_ = trial_state::none;
+            refuse(crashed_reason);
+            return;
+        }
+        trial_ = trial_state::running;
+        const auto suspected_part = std::find_if(parts_.begin(), parts_.end(), [&](const auto& it) {
+            return state_.quarantine().suspected_at(request_.fingerprint, it.service);
+        });
+        const auto index = suspected_part == parts_.end()
+                               ? std::size_t{0}
+                               : static_cast<std::size_t>(suspected_part - parts_.begin());
+        send_first(index, now);
+        answer_if_settled(now);
+    }
+
+    void end_trial(crash_quarantine::trial_outcome outcome, kernel::time_point now) {
+        trial_ = trial_state::none;
+        state_.quarantine().on_trial_ended(request_.fingerprint, outcome, now);
+    }
+
+    void abandon_trial_claim() {
+        if (trial_ == trial_state::claimed) {
+            trial_ = trial_state::none;
+            state_.quarantine().abandon_trial(request_.fingerprint);
+        }
+    }
+
+    /// Ends a trial that has no result when the request ends.
+    void leave_trial(kernel::time_point now) {
+        abandon_trial_claim();
+        if (trial_ == trial_state::running) {
+            end_trial(has_not_run() ? crash_quarantine::trial_outcome::not_run
+                                    : crash_quarantine::trial_outcome::failed,
+                      now);
+        }
+    }
+
+    /// Records whether the backend server has survived the request, also after the answer. Returns
+    /// whether this was the successful trial of the request.
+    bool record_crash_evidence(const backend_attempt& attempt, const attempt_result& result,
+                               kernel::time_point now) {
+        auto& quarantine = state_.quarantine();
+        if (result.end == attempt_end::lost) {
+            quarantine.on_crash(crash_record_of(request_.fingerprint, *attempt.backend), now);
+        } else if (result.end == attempt_end::replied && result.reply.executed) {
+            quarantine.on_executed(request_.fingerprint, attempt.backend->service, now);
+            if (trial_ == trial_state::running) {
+                end_trial(crash_quarantine::trial_outcome::survived, now);
+                return true;
+            }
+        }
+        return false;
+    }
+
     // Sending attempts
 
+    void send_unsent_parts(kernel::time_point now) {
+        for (std::size_t it = 0; it < parts_.size() && !finished_; ++it) {
+            if (parts_[it].state == part_state::open && !parts_[it].started) {
+                send_first(it, now);
+            }
+        }
+        answer_if_settled(now);
+    }
+
+    void send_first(std::size_t index, kernel::time_point now) {
+        parts_[index].started = true;
+        budget_of(parts_[index], now).on_primary(now);
+        send_or_wait(index, now);
+    }
+
+    /// Whether the quarantine forbids that the request is sent to backend servers.
+    [[nodiscard]] bool must_not_send() const {
+        return trial_ != trial_state::running &&
+               state_.quarantine().quarantined(request_.fingerprint);
+    }
+
     enum class send_outcome { sent, all_busy, none_left };
 
     void send_or_wait(std::size_t index, kernel::time_point now) {
@@ -237,6 +343,9 @@
     template <std::predicate<const backend_entry&> Predicate>
     send_outcome send_among(std::size_t index, kernel::time_point now,
                             const Predicate& is_candidate) {
+        if (must_not_send()) {
+            return send_outcome::none_left;
+        }
         auto& part = parts_[index];
         const auto limit = state_.in_flight_limit(*view_, part.service);
         std::vector<routing::replica_candidate> candidates;
@@ -305,6 +414,9 @@
             return;
         }
         report_overdue(index, now);
+        if (trial_ == trial_state::running) {
+            return;
+        }
         const auto median_latency =
             state_.statistics_of(route_).median_latency(kernel::duration::zero());
         const bool reply_too_late =
@@ -464,7 +576,6 @@
             part.overdue_at.reset();
             part.reply = std::move(result.reply);
             ++summary_.covered;
-            state_.quarantine().on_successful_reply(request_.fingerprint);
             return;
         }
         const bool replied = result.end == attempt_end::replied;
@@ -474,9 +585,12 @@
         if (!executed && (!replied || result.reply.misdirected)) {
             part.on_unreachable(attempt.backend->id);
         }
-        if (result.end == attempt_end::lost && !crash_symptom_reported_) {
-            crash_symptom_reported_ = true;
-            state_.quarantine().on_crash_symptom(request_.fingerprint, attempt.backend->id, now);
+        if (trial_ == trial_state::running) {
+            end_trial(executed ? crash_quarantine::trial_outcome::failed
+                               : crash_quarantine::trial_outcome::not_run,
+                      now);
+            fail_open_parts();
+            return;
         }
         if (replied && executed) {
             part.reply = std::move(result.reply);
@@ -589,6 +703,12 @@
             parts_.begin(), parts_.end(), [&](const auto& it) { return it.state == state; }));
     }
 
+    void fail_open_parts() {
+        for (auto& it : parts_) {
+            it.state = it.state == part_state::open ? part_state::failed : it.state;
+        }
+    }
+
     [[nodiscard]] std::size_t failed_part_count() const {
         return count(part_state::failed) + count(part_state::refused);
     }
@@ -610,9 +730,15 @@
     /// Retries refused parts when their collection time is over. Answers the request if all parts
     /// are settled, it can no longer succeed, or a deadline has passed.
     void answer_if_settled(kernel::time_point now) {
+        if (!finished_) {
+            answer_or_continue(now);
+        }
         if (finished_) {
-            return;
+            leave_trial(now);
         }
+    }
+
+    void answer_or_continue(kernel::time_point now) {
         // An answer counts as caused by the expiry of the partial deadline only in the first call
         // after it.
         const bool expired_now = !partial_deadline_passed_ && now >= limits_.partial_deadline;
@@ -761,8 +887,7 @@
     std::optional<kernel::time_point> cancel_at_;
     bool partial_deadline_passed_ = false;
     bool answered_at_partial_deadline_ = false;
-    /// A request reports at most one crash symptom, at its first lost connection.
-    bool crash_symptom_reported_ = false;
+    trial_state trial_ = trial_state::none;
     /// Whether the client was answered or has disconnected.
     bool finished_ = false;
     request_summary summary_;
--- a/packages/gateway/traffic_state.h
+++ b/packages/gateway/traffic_state.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "gateway/client_request.h"
+#include "gateway/crash_quarantine.h"
 #include "gateway/fleet_view.h"
 #include "gateway/route_statistics.h"
 #include "gateway/session_limits.h"
@@ -18,7 +19,6 @@
 #include "kernel/clock_and_random_sources.h"
 #include "metrics/counter_set.h"
 #include "retry/retry_budget.h"
-#include "routing/crash_quarantine.h"
 #include "routing/replica_stats.h"
 
 namespace poplarfront::gateway {
@@ -34,10 +34,7 @@
     /// `started`: from then on budgets are refilled, no matter when they are first used.
     traffic_state(session_options options, std::uint64_t seed,
                   std::optional<kernel::time_point> started = std::nullopt)
-        : options_(std::move(options)),
-          random_(seed),
-          started_(started),
-          quarantine_(quarantine_options()) {}
+        : options_(std::move(options)), random_(seed), started_(started) {}
 
     [[nodiscard]] const session_options& options() const { return options_; }
     /// Replaces the options. A new extra_ratio resets all budgets.
@@ -49,7 +46,7 @@
         options_ = std::move(options);
     }
     routing::replica_stats& replicas() { return replicas_; }
-    routing::crash_quarantine& quarantine() { return quarantine_; }
+    crash_quarantine& quarantine() { return quarantine_; }
     metrics::counter_set& counters() { return counters_; }
     wait_list<waiter>& waiting() { return waiting_; }
     kernel::seeded_random_source& random() { return random_; }
@@ -141,20 +138,6 @@
         return location == gather_location::local ? local_answer_delay_ : delegated_answer_delay_;
     }
 
-    static routing::crash_quarantine_options quarantine_options() {
-        routing::crash_quarantine_options options;
-        // If several backend servers crash at once, a harmless request may be in flight at two.
-        options.threshold = 3;
-        options.crash_symptom_lifetime = std::chrono::seconds{30};
-        options.quarantine_lifetime = std::chrono::seconds{30};
-        options.max_entries = 1000;
-        options.max_known_good = 1000;
-        // Otherwise a frequent request would be refused after one lost or corrupt reply from each
-        // of three backend servers.
-        options.successful_reply_clears_query = true;
-        return options;
-    }
-
     struct budget_parameters {
         double burst = 0;
         double reserve = 0;
@@ -191,7 +174,7 @@
     kernel::seeded_random_source random_;
     std::optional<kernel::time_point> started_;
     routing::replica_stats replicas_;
-    routing::crash_quarantine quarantine_;
+    crash_quarantine quarantine_;
     metrics::counter_set counters_;
     wait_list<waiter> waiting_;
     std::map<std::string, route_statistics, std::less<>> routes_;
--- a/packages/routing/crash_quarantine.h
+++ b/packages/routing/crash_quarantine.h
@@ -44,9 +44,6 @@
     std::size_t max_entries = 10'000;
     /// The most fingerprints known to be good; about 50 bytes each.
     std::size_t max_known_good = 20'000;
-    /// Whether a successful reply removes the crash symptoms and the quarantine of a query.
-    /// Suitable where a query that crashes one backend server crashes every one.
-    bool successful_reply_clears_query = false;
 };
 
 /// Tracks queries during which connections to backend servers were lost, and quarantines those that
@@ -66,9 +63,6 @@
     /// Records that a backend server has replied to the query for one shard, which makes the query
     /// known to be good.
     void on_successful_reply(query_fingerprint query) {
-        if (options_.successful_reply_clears_query) {
-            entries_.erase(query);
-        }
         end_trial(query);
         if (known_good_.size() >= options_.max_known_good / 2) {
             // Only the older half is removed. If all were removed, every query would need a canary
