Share the crashes of a request among all instances through the store

Callers' requests crashed three backend servers for each instance, and again after a restart or 30 s: crashes were counted by each instance for itself, in memory.

The watch that brings the registrations brings the records to all instances, and to those that start later. A trial of a quarantined request needs a key that must not exist before, so that one instance alone runs it. Ruled out: messages between instances (119 connections each at 120 instances, nothing left when all restart) and a counter in the store (a lost reply counts twice).

On virtual time with 3, 15 and 120 instances, with and without restarts, at most 3 requests arrive later than 4 s after the third crash, and a harmless frequent request is served again 5 s after its servers are back.

--- a/packages/gateway/crash_write_queue.h
+++ b/packages/gateway/crash_write_queue.h
@@ -9,9 +9,9 @@
 namespace poplarfront::gateway {
 
 struct crash_write_queue_options {
-    /// Delay of an addition. Most crashes that a request did not cause are disproved in this time
-    /// by the reply to a retry, and are then never written.
-    kernel::duration hold_time = std::chrono::milliseconds{200};
+    /// Delay of an addition. Most lost connections that are not caused by the request are disproved
+    /// in this time by replies, and are then never written.
+    kernel::duration hold_time = std::chrono::milliseconds{700};
     /// Maximum number of entries in one call to the store.
     std::size_t max_batch = 32;
     /// Maximum number of additions that wait. Further ones are dropped.
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -19,6 +19,7 @@
 #include "kernel/state_registry.h"
 #include "metrics/exposition.h"
 #include "metrics/metrics_json.h"
+#include "proxy/crash_channel.h"
 #include "proxy/delegated_gather_service.h"
 #include "proxy/fleet_publisher.h"
 #include "proxy/front_server.h"
@@ -51,6 +52,7 @@
             module->contexts_.push_back(std::move(thread_context));
         }
         module->register_delegation_handlers(context);
+        connect_quarantines(module->contexts_, context.require<crash_channel>());
         publisher->on_published([contexts = module->contexts_] { post_view_update(contexts); });
         context.require<kernel::reload_handlers>()->add(
             [contexts = module->contexts_](const kernel::settings& next) {
@@ -113,6 +115,33 @@
     static constexpr unsigned ok = 200;
     static constexpr unsigned unavailable = 503;
 
+    /// Shares the crashes that each traffic thread observes with the other threads and instances.
+    static void connect_quarantines(const context_list& contexts,
+                                    const std::shared_ptr<crash_channel>& channel) {
+        for (const auto& it : contexts) {
+            gateway::crash_quarantine::publication publication;
+            publication.change = [channel](const auto& change) { channel->publish(change); };
+            publication.claim_trial = [channel, weak = std::weak_ptr(it)](const auto& trial) {
+                channel->claim(trial, [weak, trial](bool granted) {
+                    if (const auto context = weak.lock()) {
+                        boost::asio::post(context->thread->context(), [context, trial, granted] {
+                            context->state.quarantine().on_trial_decision(
+                                trial, granted, kernel::time_point::clock::now());
+                        });
+                    }
+                });
+            };
+            it->state.quarantine().set_publication(std::move(publication));
+        }
+        channel->on_table([contexts](const crash_channel::table_ptr& table) {
+            for (const auto& it : contexts) {
+                boost::asio::post(it->thread->context(), [it, table] {
+                    it->state.quarantine().on_table(table, kernel::time_point::clock::now());
+                });
+            }
+        });
+    }
+
     /// Enables delegation of gathers to other instances, and executes gathers that they delegate.
     void register_delegation_handlers(kernel::module_context& context) {
         const auto link = context.require<daemon::peer_link>();
@@ -192,11 +221,13 @@
         metrics::latency_snapshot latencies;
         typename backend_pool<Protocol>::connection_counters connections;
         std::uint64_t open_requests = 0;
+        std::size_t suspected_requests = 0;
         for (const auto& it : contexts) {
             it->thread->run([&] {
                 answers = metrics::merged(answers, it->answers.snapshot());
                 events = metrics::merged(events, it->state.counters().snapshot());
                 latencies = metrics::merged(latencies, it->latencies.snapshot());
+                suspected_requests = it->state.quarantine().shared_request_count();
                 connections.opened += it->pool.counters().opened;
                 connections.reused += it->pool.counters().reused;
                 connections.connect_errors += it->pool.counters().connect_errors;
@@ -221,6 +252,9 @@
                    view.configuration == nullptr ? 0 : view.configuration->version);
         page.gauge("poplarfront_instances", "Instances that share the backend servers.",
                    view.instances);
+        page.gauge("poplarfront_suspected_requests",
+                   "Requests with crashes of backend servers that all instances know.",
+                   suspected_requests);
         page.gauge("poplarfront_store_reached", "1 if the last call of the store was answered.",
                    view.store_reached ? 1 : 0);
     }
--- a/packages/proxy/proxied_request.h
+++ b/packages/proxy/proxied_request.h
@@ -26,7 +26,8 @@
     using answer_handler = typename backend_session_transport<Protocol>::answer_handler;
     using view_ptr = std::shared_ptr<const gateway::fleet_view>;
 
-    /// For a request of a client of this instance. A gather is delegated if there are delegates.
+    /// For a request of a client of this instance. A gather is delegated if there are delegates,
+    /// unless it may crash backend servers: this instance then decides whether it is sent at all.
     /// `context` outlives the request.
     static std::shared_ptr<proxied_request> create(traffic_context<Protocol>& context,
                                                    const view_ptr& view,
@@ -36,7 +37,8 @@
         auto created = create_with_limits(context, view, route, std::move(request), std::nullopt,
                                           std::move(on_answer));
         if (context.delegated_gathers != nullptr && created->session_.is_gather() &&
-            !view->delegates.empty()) {
+            !view->delegates.empty() &&
+            !context.state.quarantine().suspected(created->request().fingerprint)) {
             created->prepare_delegation(*context.delegated_gathers, view, route);
         }
         return created;
