Limit the bytes of an incomplete chunk header

The parser consumes a chunk header only as a whole and limits only header fields and bodies. The buffers of replies, of requests of clients and of the internal HTTP client and server now hold at most 64 KiB that is not parsed yet.

--- a/packages/proxy/backend_connection.h
+++ b/packages/proxy/backend_connection.h
@@ -30,11 +30,15 @@
 /// One connection to one backend server and the call that it carries, if any. Owned by a
 /// backend_pool.
 struct backend_connection {
+    /// Limit of what the parser cannot consume yet, such as an incomplete chunk header, which has
+    /// no limit of its own.
+    static constexpr std::size_t max_buffer_bytes = std::size_t{64} * 1024;
+
     explicit backend_connection(boost::asio::io_context& context) : socket(context) {}
 
     model::server_id server;
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_buffer_bytes};
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
     std::optional<backend_call> call;
     bool connected = false;
--- a/packages/proxy/client_connection.h
+++ b/packages/proxy/client_connection.h
@@ -157,7 +157,9 @@
         error_code ec;
         const auto used = parser.put(buffer_.data(), ec);
         buffer_.consume(used);
-        if (!ec || ec == http::error::need_more) {
+        // An incomplete chunk header has no limit of its own in the parser.
+        constexpr std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
+        if ((!ec || ec == http::error::need_more) && buffer_.size() <= max_unparsed_bytes) {
             return true;
         }
         if (ec == http::error::header_limit) {
--- a/packages/runtime/internal/http_client.cpp
+++ b/packages/runtime/internal/http_client.cpp
@@ -25,6 +25,9 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
+/// Limit of what the parser cannot consume yet, such as an incomplete chunk header.
+constexpr std::size_t max_buffer_bytes = std::size_t{64} * 1024;
+
 struct connection {
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
@@ -163,8 +166,8 @@
         if (!endpoint) {
             return nullptr;
         }
-        auto opened = std::make_unique<connection>(
-            connection{beast::tcp_stream{thread_->context()}, beast::flat_buffer{}});
+        auto opened = std::make_unique<connection>(connection{
+            beast::tcp_stream{thread_->context()}, beast::flat_buffer{max_buffer_bytes}});
         // The operating system retries a connection attempt to an unreachable host with growing
         // pauses, so without this time-out the attempt could outlast a network partition.
         constexpr auto connect_timeout = std::chrono::milliseconds{700};
--- a/packages/runtime/internal/http_server.cpp
+++ b/packages/runtime/internal/http_server.cpp
@@ -146,7 +146,9 @@
         if (options_.accept_delay > kernel::duration::zero()) {
             boost::this_fiber::sleep_for(options_.accept_delay);
         }
-        beast::flat_buffer buffer;
+        // Limits what the parser cannot consume yet, such as an incomplete chunk header.
+        constexpr std::size_t max_buffer_bytes = std::size_t{64} * 1024;
+        beast::flat_buffer buffer{max_buffer_bytes};
         while (!stopping_ && serve_one(*served, buffer)) {
         }
         beast::error_code ec;
