Close idle connections to backend servers that receive bytes

Bytes after a whole reply without end stayed in the socket of an idle connection, which the backend server kept writing to until the next request closed it: not closed after 1 s in the test. Idle connections are now checked every 0.5 s, and closed if they have input or have reached their idle timeout.

--- a/packages/proxy/backend_pool.h
+++ b/packages/proxy/backend_pool.h
@@ -31,6 +31,9 @@
     kernel::duration default_idle_timeout = std::chrono::milliseconds{900};
     /// Subtracted from the idle timeout that the backend server's `Keep-Alive` field gives.
     kernel::duration idle_timeout_margin = std::chrono::milliseconds{500};
+    /// Interval at which idle connections are checked for input, which belongs to no request, and
+    /// for the end of their idle timeout.
+    kernel::duration idle_check_interval = std::chrono::milliseconds{500};
     /// Interval at which calls are checked for expired deadlines.
     kernel::duration deadline_check_interval = std::chrono::milliseconds{25};
     std::size_t max_reply_body_bytes = std::size_t{4} * 1024 * 1024;
@@ -55,7 +58,10 @@
     };
 
     explicit backend_pool(boost::asio::io_context& context, backend_pool_options options = {})
-        : context_(context), options_(options), deadline_check_timer_(context) {}
+        : context_(context),
+          options_(options),
+          deadline_check_timer_(context),
+          idle_check_timer_(context) {}
 
     /// Starts a call; its result arrives later through `call.on_result`.
     call_handle start(const gateway::backend_entry& backend, backend_call call) {
@@ -96,6 +102,7 @@
 
     void close() {
         deadline_check_timer_.cancel();
+        idle_check_timer_.cancel();
         idle_.clear();
         const auto busy = std::exchange(busy_, {});
         for (const auto& it : busy) {
@@ -211,6 +218,7 @@
         if (reusable) {
             busy_.erase(connection);
             idle_[connection->server].push_back(connection);
+            schedule_idle_check();
         } else {
             close_connection(connection);
         }
@@ -258,6 +266,33 @@
         connection.socket.close(ignored);
     }
 
+    void schedule_idle_check() {
+        if (idle_check_scheduled_) {
+            return;
+        }
+        idle_check_scheduled_ = true;
+        idle_check_timer_.expires_after(options_.idle_check_interval);
+        idle_check_timer_.async_wait([this](const error_code& ec) {
+            idle_check_scheduled_ = false;
+            if (!ec) {
+                close_unusable_idle_connections();
+            }
+        });
+    }
+
+    void close_unusable_idle_connections() {
+        const auto check_time = now();
+        for (auto& [server, connections] : idle_) {
+            std::erase_if(connections, [&](const auto& it) {
+                return check_time >= it->usable_until || !has_no_pending_input(*it);
+            });
+        }
+        std::erase_if(idle_, [](const auto& it) { return it.second.empty(); });
+        if (!idle_.empty()) {
+            schedule_idle_check();
+        }
+    }
+
     void schedule_deadline_check() {
         if (check_scheduled_) {
             return;
@@ -300,7 +335,9 @@
     boost::asio::io_context& context_;
     backend_pool_options options_;
     boost::asio::steady_timer deadline_check_timer_;
+    boost::asio::steady_timer idle_check_timer_;
     bool check_scheduled_ = false;
+    bool idle_check_scheduled_ = false;
     std::map<model::server_id, std::vector<connection_ptr>> idle_;
     std::set<connection_ptr> busy_;
     connection_counters counters_;
