Bound the common records of crashes and count every reply as a sign of life

From 300 requests on a new one replaces the one with the fewest and oldest crashes. A reply that refuses a request shows as well that the process has not crashed. The channel to the traffic threads holds them weakly, so that both are destroyed at a stop.

--- a/packages/gateway/crash_quarantine.h
+++ b/packages/gateway/crash_quarantine.h
@@ -134,6 +134,8 @@
     void remove(request_fingerprint fingerprint, const std::set<crash_record>& crashes,
                 std::set<crash_trial> trials, kernel::time_point now);
     void remove_expired(kernel::time_point now);
+    /// Whether no further request may have unpublished crashes.
+    [[nodiscard]] bool is_full() const;
     void publish(const crash_table_change& change) const {
         if (publication_.change) {
             publication_.change(change);
--- a/packages/gateway/crash_quarantine_options.h
+++ b/packages/gateway/crash_quarantine_options.h
@@ -27,7 +27,7 @@
     /// Lifetime of a crash that this instance has observed and that the store has not taken.
     kernel::duration unpublished_lifetime = std::chrono::minutes{10};
     /// Maximum number of requests with crashes that were observed here and are not in the store.
-    std::size_t max_requests = 1000;
+    std::size_t max_requests = 300;
 };
 
 }  // namespace poplarfront::gateway
--- a/packages/gateway/crash_write_queue.h
+++ b/packages/gateway/crash_write_queue.h
@@ -18,6 +18,12 @@
     std::size_t max_pending = 1000;
 };
 
+/// The records to remove when the store holds those of `max_requests` requests or more: those of
+/// the request with the fewest crashes, and among equals the one that changed first. Most of them
+/// are crashes that the request did not cause. Thread-safe.
+[[nodiscard]] std::set<crash_record> records_to_evict(const crash_table& stored,
+                                                      std::size_t max_requests);
+
 /// Collects changes to the common records of crashes until they are written to the store.
 ///
 /// Not thread-safe; used by the control thread.
--- a/packages/gateway/internal/crash_quarantine.cpp
+++ b/packages/gateway/internal/crash_quarantine.cpp
@@ -35,8 +35,7 @@
 void crash_quarantine::on_crash(const crash_record& record, kernel::time_point now) {
     remove_expired(now);
     const auto known = crashes_of(record.fingerprint);
-    if (known.contains(record) ||
-        (entries_.size() >= options_.max_requests && !entries_.contains(record.fingerprint))) {
+    if (known.contains(record) || (is_full() && !entries_.contains(record.fingerprint))) {
         return;
     }
     auto& found = entries_[record.fingerprint];
@@ -249,4 +248,12 @@
     }
 }
 
+bool crash_quarantine::is_full() const {
+    return entries_.size() >= options_.max_requests &&
+           static_cast<std::size_t>(
+               std::count_if(entries_.begin(), entries_.end(), [](const auto& it) {
+                   return !it.second.unpublished.empty();
+               })) >= options_.max_requests;
+}
+
 }  // namespace poplarfront::gateway
--- a/packages/gateway/internal/crash_write_queue.cpp
+++ b/packages/gateway/internal/crash_write_queue.cpp
@@ -1,6 +1,7 @@
 #include "gateway/crash_write_queue.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace poplarfront::gateway {
 namespace {
@@ -22,6 +23,18 @@
 
 }  // namespace
 
+std::set<crash_record> records_to_evict(const crash_table& stored, std::size_t max_requests) {
+    if (stored.requests.size() < std::max<std::size_t>(1, max_requests)) {
+        return {};
+    }
+    const auto victim = std::min_element(
+        stored.requests.begin(), stored.requests.end(), [](const auto& a, const auto& b) {
+            return std::tuple{a.second.crashes.size(), a.second.revision} <
+                   std::tuple{b.second.crashes.size(), b.second.revision};
+        });
+    return victim->second.crashes;
+}
+
 void crash_write_queue::add(const crash_table_change& change, const crash_table& stored,
                             kernel::time_point now) {
     for (const auto& it : change.added) {
--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -341,15 +341,21 @@
         if (result.end == attempt_end::lost) {
             attempt.lost = true;
             quarantine.on_crash(crash_record_of(request_.fingerprint, *attempt.backend), now);
-        } else if (result.end == attempt_end::replied && result.reply.executed) {
-            quarantine.on_reply(*attempt.backend, now);
-            quarantine.on_executed(request_.fingerprint, attempt.backend->service, now);
-            if (is_trial(attempt.part)) {
-                end_trial(crash_quarantine::trial_outcome::survived, now);
-                return true;
-            }
+            return false;
+        }
+        if (result.end != attempt_end::replied || result.reply.misdirected) {
+            return false;
+        }
+        quarantine.on_reply(*attempt.backend, now);
+        if (!result.reply.executed) {
+            return false;
+        }
+        quarantine.on_executed(request_.fingerprint, attempt.backend->service, now);
+        const bool is_successful_trial = is_trial(attempt.part);
+        if (is_successful_trial) {
+            end_trial(crash_quarantine::trial_outcome::survived, now);
         }
-        return false;
+        return is_successful_trial;
     }
 
     // Sending attempts
--- a/packages/gateway/tests/crash_quarantine_test.cpp
+++ b/packages/gateway/tests/crash_quarantine_test.cpp
@@ -190,6 +190,17 @@
     CHECK(queue.take(now) == crash_table_change{{crash("b")}, {crash("a")}, {}});
 }
 
+// Guards against a full table that takes no new crashes.
+TEST_CASE("a full table evicts the request with the fewest and oldest crashes") {
+    crash_table stored;
+    stored.requests[1] = {{{1, service("s0"), "a"}, {1, service("s0"), "b"}}, {}, 3};
+    stored.requests[2] = {{{2, service("s0"), "a"}}, {}, 5};
+    stored.requests[3] = {{{3, service("s0"), "a"}}, {}, 4};
+    CHECK(records_to_evict(stored, 3) == stored.requests[3].crashes);
+    CHECK(records_to_evict(stored, 4).empty());
+    CHECK(records_to_evict({}, 0).empty());
+}
+
 // Trial of a quarantined request in a session
 
 /// A state in which the gather of all shards is quarantined and its trial is due.
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -133,11 +133,16 @@
             };
             it->state.quarantine().set_publication(std::move(publication));
         }
-        channel->on_table([contexts](const crash_channel::table_ptr& table) {
-            for (const auto& it : contexts) {
-                boost::asio::post(it->thread->context(), [it, table] {
-                    it->state.quarantine().on_table(table, kernel::time_point::clock::now());
-                });
+        std::vector<std::weak_ptr<traffic_context<Protocol>>> weak_contexts{contexts.begin(),
+                                                                            contexts.end()};
+        channel->on_table([weak_contexts =
+                               std::move(weak_contexts)](const crash_channel::table_ptr& table) {
+            for (const auto& weak : weak_contexts) {
+                if (const auto it = weak.lock()) {
+                    boost::asio::post(it->thread->context(), [it, table] {
+                        it->state.quarantine().on_table(table, kernel::time_point::clock::now());
+                    });
+                }
             }
         });
     }
