Run the trial of a quarantined request at a backend server that is fit

Cause, by event=crash_trial and event=attempt_lost of its logs: both trials went to servers that a crashing request had ended just before, so that the trials failed for another reason, and after two there was none left.

A trial is not run at a server whose connection was lost less than 3 s ago and which has not answered since; if there is no other one it is returned and claimed again. A third trial follows after two minutes.

--- a/packages/gateway/crash_quarantine_options.h
+++ b/packages/gateway/crash_quarantine_options.h
@@ -18,7 +18,11 @@
     /// Delay of each trial, counted from the last crash or trial that this instance knows of. After
     /// the last one the request stays quarantined. Each trial of a request that still crashes
     /// backend servers costs one, and the platform allows three after the quarantine.
-    std::array<kernel::duration, 2> trial_delays{std::chrono::seconds{1}, std::chrono::seconds{10}};
+    std::array<kernel::duration, 3> trial_delays{std::chrono::seconds{1}, std::chrono::seconds{10},
+                                                 std::chrono::minutes{2}};
+    /// How long after a lost connection a backend server is not used for a trial, which would fail
+    /// for this reason.
+    kernel::duration unfit_after_loss = std::chrono::seconds{3};
     /// How long a request waits for the decision on its trial.
     kernel::duration trial_claim_timeout = std::chrono::milliseconds{150};
     /// Age at which the records of a request that still arrives are written again. Must be less
--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -253,9 +253,21 @@
                           ? std::size_t{0}
                           : static_cast<std::size_t>(suspected_part - parts_.begin());
         send_first(trial_part_, now);
+        if (parts_[trial_part_].state == part_state::failed) {
+            end_trial(crash_quarantine::trial_outcome::not_run, now);
+            parts_[trial_part_].started = false;
+            send_permitted_parts(now);
+        }
         answer_if_settled(now);
     }
 
+    [[nodiscard]] bool is_unfit_for_trial(const backend_entry& backend,
+                                          kernel::time_point now) const {
+        return trial_ == trial_state::running &&
+               state_.replicas().lost_within(backend.id,
+                                             state_.quarantine().options().unfit_after_loss, now);
+    }
+
     /// Suspends a part whose connection was lost, until one suspended part has been retried. Only
     /// one such retry is made.
     void retry_after_trial(std::size_t index, kernel::time_point now) {
@@ -445,7 +457,7 @@
         for (std::size_t it = 0; it < part.backends->size(); ++it) {
             const auto& backend = *(*part.backends)[it];
             if (!is_candidate(backend) || part.is_unreachable(backend.id) ||
-                state_.replicas().draining(backend.id, now)) {
+                state_.replicas().draining(backend.id, now) || is_unfit_for_trial(backend, now)) {
                 continue;
             }
             if (state_.replicas().in_flight(backend.id) >= limit) {
--- a/packages/gateway/tests/crash_quarantine_test.cpp
+++ b/packages/gateway/tests/crash_quarantine_test.cpp
@@ -113,12 +113,15 @@
     CHECK(it.changes.back().removed_trials == std::set{crash_trial{fingerprint, 1}});
 }
 
-TEST_CASE("after two trials of all instances a request stays quarantined") {
+TEST_CASE("after three trials of all instances a request stays quarantined") {
     observed_quarantine it;
     it.quarantine.on_table(table({crash("a"), crash("b"), crash("c")}, {1}), start_time);
     CHECK(it.quarantine.admit(fingerprint, start_time + seconds{9}) == admission::refused);
     CHECK(it.quarantine.admit(fingerprint, start_time + seconds{10}) == admission::trial_due);
     it.quarantine.on_table(table({crash("a"), crash("b"), crash("c")}, {1, 2}), start_time);
+    CHECK(it.quarantine.admit(fingerprint, start_time + seconds{119}) == admission::refused);
+    CHECK(it.quarantine.admit(fingerprint, start_time + seconds{120}) == admission::trial_due);
+    it.quarantine.on_table(table({crash("a"), crash("b"), crash("c")}, {1, 2, 3}), start_time);
     CHECK(it.quarantine.admit(fingerprint, start_time + seconds{600}) == admission::refused);
 }
 
@@ -140,7 +143,7 @@
 TEST_CASE("the records of a request that still arrives are written again before they expire") {
     observed_quarantine it;
     const std::set crashes{crash("a"), crash("b"), crash("c")};
-    it.quarantine.on_table(table(crashes, {1, 2}), start_time);
+    it.quarantine.on_table(table(crashes, {1, 2, 3}), start_time);
     CHECK(it.quarantine.admit(fingerprint, start_time + seconds{239}) == admission::refused);
     CHECK(it.changes.empty());
     it.quarantine.admit(fingerprint, start_time + seconds{240});
@@ -245,6 +248,31 @@
     CHECK_FALSE(it.state.quarantine().suspected(request().fingerprint));
 }
 
+// Guards against trials that fail because of a backend server that is down for another reason,
+// after which a harmless request stayed refused (fault soak, seed 2010).
+TEST_CASE("a trial is not run at a backend server whose connection was just lost") {
+    quarantined_gather it;
+    const auto lose = [&](const std::string& id) {
+        it.state.replicas().on_sent(model::server_id::trusted(id));
+        it.state.replicas().on_lost(model::server_id::trusted(id), start_time);
+    };
+    lose("s1-0");
+    SECTION("another one is used") {
+        it.decide(true);
+        REQUIRE(it.transport.sent.size() == 1);
+        CHECK(it.transport.sent.front().server == "s1-1");
+    }
+    SECTION("there is no other one") {
+        lose("s1-1");
+        it.decide(true);
+        CHECK(it.transport.sent.empty());
+        REQUIRE(it.transport.answers.size() == 1);
+        CHECK(it.transport.answers.front().kind == answer_kind::not_run);
+        CHECK(it.state.quarantine().admit(request().fingerprint, start_time + seconds{2}) ==
+              admission::trial_due);
+    }
+}
+
 TEST_CASE("the trial of a request that still crashes costs one backend server") {
     quarantined_gather it;
     it.decide(true);
--- a/packages/routing/replica_stats.h
+++ b/packages/routing/replica_stats.h
@@ -68,6 +68,15 @@
         servers_[server].replies = 0;
     }
 
+    /// Whether a connection to the backend server was lost or refused less than `age` ago and it
+    /// has answered no request since.
+    [[nodiscard]] bool lost_within(const model::server_id& server, kernel::duration age,
+                                   kernel::time_point now) const {
+        const auto it = servers_.find(server);
+        return it != servers_.end() && it->second.failures > 0 && it->second.replies == 0 &&
+               now - it->second.failed_at < age;
+    }
+
     /// Records the end of a request that was cancelled after `elapsed`, which is a lower bound of
     /// its latency.
     void on_cancelled(const model::server_id& server, kernel::duration elapsed,
