Answer every request that is taken during a planned stop

Cause: after the stop delay the listener closes, but a request whose body was still arriving was passed on, and a request that outlasted drain_ms lost its connection without an answer. With several traffic threads the threads drained one after the other, so that the last one took requests when the grace time had ended; they could not listen on one address at all. Change: requests that are read after the stop delay are refused with 503, and not passed on. At the end of drain_ms all open requests are answered. All traffic threads stop at the same time and share the address.

--- a/packages/gateway/gather_delegation.h
+++ b/packages/gateway/gather_delegation.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -85,6 +86,14 @@
         }
     }
 
+    /// Answers the client now with a failure if there is no answer yet, and cancels the gather.
+    void on_final_deadline(kernel::time_point now) {
+        if (in_progress_) {
+            on_client_disconnected(now);
+            answer_failed("the instance is stopping");
+        }
+    }
+
     /// Handles the end of the client's connection.
     void on_client_disconnected(kernel::time_point now) {
         if (!in_progress_) {
@@ -116,7 +125,7 @@
         // The delegate may have sent the request to one backend server of each shard.
         --limits_.max_attempts;
         if (confirmed || limits_.max_attempts == 0) {
-            answer_failed();
+            answer_failed("no report from the delegate in time");
             return;
         }
         delegate_to_next(now);
@@ -133,10 +142,10 @@
 
     /// Answers with a failure: the delegates may have used all attempts, so that only the client
     /// can try again.
-    void answer_failed() {
+    void answer_failed(std::string_view reason) {
         gateway_answer answer;
         answer.kind = answer_kind::failed;
-        answer.reason = "no report from the delegate in time";
+        answer.reason = reason;
         transport_.answer(std::move(answer));
     }
 
--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -108,6 +108,31 @@
         state_.wake_one(part.service, now);
     }
 
+    /// Handles the result of a probe. A backend server that accepts connections has not crashed.
+    void on_probe_result(attempt_number number, bool accepts_connections, kernel::time_point now) {
+        --open_probes_;
+        state_.counters().add(accepts_connections ? "probe_accepted" : "probe_refused");
+        if (accepts_connections) {
+            auto& attempt = attempts_.at(number);
+            attempt.lost = false;
+            state_.quarantine().on_disproved(
+                request_.fingerprint, {crash_record_of(request_.fingerprint, *attempt.backend)},
+                now);
+        }
+        if (!finished_) {
+            continue_after_probe(now);
+            answer_if_settled(now);
+        }
+    }
+
+    /// Answers the request now, with what has been received so far, as if its final deadline had
+    /// passed.
+    void on_final_deadline(kernel::time_point now) {
+        limits_.final_deadline = std::min(limits_.final_deadline, now);
+        limits_.partial_deadline = std::min(limits_.partial_deadline, now);
+        answer_if_settled(now);
+    }
+
     /// Handles the end of the client's connection.
     void on_client_disconnected(kernel::time_point now) {
         if (finished_) {
--- a/packages/proxy/client_connection.h
+++ b/packages/proxy/client_connection.h
@@ -39,6 +39,10 @@
         close();
     }
 
+    /// Answers the request that is under way, if any, at once. May be called from other fibers of
+    /// the traffic thread.
+    void expire_request() { events_.push(event{event_kind::expire_request, 0, {}}); }
+
     /// Closes the connection unless a request is being received or answered. May be called from
     /// other fibers of the traffic thread.
     void close_if_idle() {
@@ -48,8 +52,14 @@
     }
 
 private:
-    /// `close_if_idle` is ignored if a request has begun.
-    enum class event_kind { bytes_received, client_closed, answer_ready, close_if_idle };
+    /// `close_if_idle` is ignored if a request has begun, `expire_request` unless one is under way.
+    enum class event_kind {
+        bytes_received,
+        client_closed,
+        answer_ready,
+        close_if_idle,
+        expire_request,
+    };
     struct event {
         event_kind kind = event_kind::client_closed;
         std::size_t byte_count = 0;
@@ -195,6 +205,9 @@
         continue_sent_ = false;
         const auto received_at = received.request.received;
         const auto id = received.request.id;
+        if (context_->refuses_requests) {
+            return answer_with_status(id, unavailable, "the instance is stopping", keep_alive);
+        }
         const auto view = wait_for_configuration();
         if (view->configuration == nullptr) {
             return answer_with_status(id, unavailable, "no configuration has been received yet",
@@ -252,6 +265,10 @@
             if (next->kind == event_kind::close_if_idle) {
                 continue;
             }
+            if (next->kind == event_kind::expire_request) {
+                request.expire();
+                continue;
+            }
             if (next->kind == event_kind::client_closed) {
                 request.on_client_disconnected();
                 context_->answers.add("client_gone");
--- a/packages/proxy/front_server.h
+++ b/packages/proxy/front_server.h
@@ -4,6 +4,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
+#include <concepts>
+#include <future>
 #include <memory>
 #include <set>
 #include <string>
@@ -43,6 +45,11 @@
         if (!ec) {
             acceptor_.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true), ec);
         }
+        if (!ec && options_.share_address) {
+            using reuse_port =
+                boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+            acceptor_.set_option(reuse_port(true), ec);
+        }
         if (!ec) {
             acceptor_.bind(*endpoint, ec);
         }
@@ -70,13 +77,22 @@
         });
     }
 
-    /// Accepts connections and requests during the stop delay. Then closes the listener and the
-    /// idle client connections, waits until the open requests and delegated gathers have ended or
-    /// `drain_timeout` has expired, and closes the connections to backend servers.
-    void stop() {
-        context_->thread->run([self = this->shared_from_this()] { self->drain(); });
+    /// Begins a stop and returns at once. Connections and requests are accepted during the stop
+    /// delay. Then the listener and the idle client connections are closed, and requests that are
+    /// read later are refused. When the open requests and delegated gathers have ended or
+    /// `drain_timeout` has expired, open requests are answered and the connections to backend
+    /// servers are closed.
+    void begin_stop() {
+        context_->thread->spawn([self = this->shared_from_this()] {
+            self->drain();
+            self->drained_.set_value();
+        });
     }
 
+    /// Waits for the end of the stop. Precondition: begin_stop() has been called, and stop() has
+    /// not.
+    void stop() { drained_.get_future().wait(); }
+
 private:
     using connection = client_connection<Protocol>;
 
@@ -120,22 +136,37 @@
         boost::this_fiber::sleep_until(stop_begin + options_.stop_delay);
         boost::system::error_code ignored;
         acceptor_.close(ignored);
+        context_->refuses_requests = true;
         const auto drain_deadline = stop_begin + options_.drain_timeout;
-        while ((!connections_.empty() || context_->open_delegated_gathers > 0) &&
-               kernel::time_point::clock::now() < drain_deadline) {
-            const auto open = connections_;
-            for (const auto& it : open) {
-                it->close_if_idle();
-            }
+        const auto is_open = [&] {
+            return !connections_.empty() || context_->open_delegated_gathers > 0;
+        };
+        while (is_open() && kernel::time_point::clock::now() < drain_deadline) {
+            for_each_connection([](auto& it) { it.close_if_idle(); });
+            boost::this_fiber::sleep_for(check_interval);
+        }
+        for_each_connection([](auto& it) { it.expire_request(); });
+        const auto write_deadline = kernel::time_point::clock::now() + options_.last_answer_timeout;
+        while (!connections_.empty() && kernel::time_point::clock::now() < write_deadline) {
             boost::this_fiber::sleep_for(check_interval);
         }
         context_->pool.close();
     }
 
+    /// `action` may cause connections to end.
+    template <std::invocable<connection&> Action>
+    void for_each_connection(const Action& action) {
+        const auto open = connections_;
+        for (const auto& it : open) {
+            action(*it);
+        }
+    }
+
     std::shared_ptr<traffic_context<Protocol>> context_;
     front_server_options options_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::set<std::shared_ptr<connection>> connections_;
+    std::promise<void> drained_;
 };
 
 }  // namespace poplarfront::proxy
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -47,8 +47,10 @@
         for (const auto& thread : module->threads_->traffic) {
             auto thread_context = std::make_shared<traffic_context<Protocol>>(
                 thread, publisher->view(), session_options_from(settings), std::random_device{}());
-            module->servers_.push_back(front_server<Protocol>::create(
-                thread_context, front_server_options_from(settings)));
+            auto options = front_server_options_from(settings);
+            options.share_address = module->threads_->traffic.size() > 1;
+            module->servers_.push_back(
+                front_server<Protocol>::create(thread_context, std::move(options)));
             module->contexts_.push_back(std::move(thread_context));
         }
         module->register_delegation_handlers(context);
@@ -99,6 +101,10 @@
         for (const auto& it : contexts_) {
             it->stopping = true;
         }
+        // The threads stop at the same time, since the time of a stop is limited.
+        for (const auto& it : servers_) {
+            it->begin_stop();
+        }
     }
 
     void stop() {
--- a/packages/proxy/proxied_request.h
+++ b/packages/proxy/proxied_request.h
@@ -72,6 +72,15 @@
         arm_timer();
     }
 
+    /// Answers the request now if it was not answered yet, since this instance stops.
+    void expire() {
+        if (delegation_) {
+            delegation_->on_final_deadline(now());
+        } else {
+            session_.on_final_deadline(now());
+        }
+    }
+
     /// Sets the number of backend servers that may get the request, for each shard.
     void set_max_attempts(std::uint32_t attempts) { session_.set_max_attempts(attempts); }
 
--- a/packages/proxy/traffic_context.h
+++ b/packages/proxy/traffic_context.h
@@ -40,6 +40,9 @@
     /// Backend servers of the view that was applied last.
     std::set<model::server_id> known_backends;
     std::atomic<bool> stopping = false;
+    /// During a stop: whether requests that are read from now on are refused. They might not be
+    /// answered before the process has to end.
+    bool refuses_requests = false;
     std::size_t open_requests = 0;
     /// Number of gathers that this thread is executing for other instances.
     std::size_t open_delegated_gathers = 0;
