Respect Server-Leaving and Retry-After of backend servers

Cause: no code read the two header fields, so that a backend server that leaves, or asks for a pause, got further requests as long as the store listed it as ready. Change: backend_notices keeps what a process of a backend server has announced; it is excluded from all attempts, and after a pause it gets one request until a reply shows that the pause is over. A request that too few backend servers take is refused before it is sent, with a Retry-After that brings the client back after the pause, spread over a quarter of it. Notices are shared between the traffic threads of an instance, not between instances: they bind only the instance that got them.

--- a/packages/gateway/backend_reply.h
+++ b/packages/gateway/backend_reply.h
@@ -35,6 +35,10 @@
     bool status_implies_not_run = false;
     /// Whether the address now belongs to another backend server, which did not run the request.
     bool misdirected = false;
+    /// Whether the backend server states that it is about to leave.
+    bool leaving = false;
+    /// How long the backend server wants no further requests; absent if it does not say so.
+    std::optional<kernel::duration> retry_after;
 
     [[nodiscard]] bool success() const {
         constexpr unsigned first_success = 200;
--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -15,6 +15,7 @@
 #include "gateway/client_request.h"
 #include "gateway/gateway_answer.h"
 #include "gateway/request_part.h"
+#include "gateway/service_availability.h"
 #include "gateway/top_records.h"
 #include "gateway/traffic_state.h"
 #include "gateway/weighted_choice.h"
@@ -72,6 +73,10 @@
         create_parts();
         summary_.configuration_version = view_->configuration->version;
         summary_.shards = static_cast<std::uint32_t>(parts_.size());
+        if (servable_part_count(parts_, state_, now) < needed_part_count()) {
+            refuse_until_servable("too few backend servers take requests", now);
+            return;
+        }
         switch (state_.quarantine().admit(request_.fingerprint, now)) {
             case crash_quarantine::admission::allowed:
                 send_unsent_parts(now);
@@ -97,7 +102,7 @@
         auto& part = parts_[attempt.part];
         --part.in_flight;
         record_result(attempt, result, now);
-        const bool trial_survived = record_crash_evidence(attempt, result, now);
+        const bool trial_survived = record_crash_evidence(number, result, now);
         if (!finished_ && part.state == part_state::open) {
             apply_result(attempt, std::move(result), now);
             if (trial_survived) {
@@ -331,6 +336,23 @@
         state_.quarantine().on_trial_ended(request_.fingerprint, outcome, now);
     }
 
+    /// Sends the suspended parts if the request is no longer quarantined. Otherwise, the last probe
+    /// starts the trial of one of them.
+    void continue_after_probe(kernel::time_point now) {
+        if (trial_ != trial_state::none || count(part_state::suspended) == 0) {
+            return;
+        }
+        if (!state_.quarantine().quarantined(request_.fingerprint)) {
+            continue_after_trial(now);
+            return;
+        }
+        for (std::size_t it = 0; it < parts_.size() && open_probes_ == 0; ++it) {
+            if (parts_[it].state == part_state::suspended) {
+                retry_after_trial(it, now);
+            }
+        }
+    }
+
     /// Sends the parts that have waited for the trial.
     void continue_after_trial(kernel::time_point now) {
         for (std::size_t it = 0; it < parts_.size() && !finished_; ++it) {
@@ -481,11 +503,14 @@
         bool busy = false;
         for (std::size_t it = 0; it < part.backends->size(); ++it) {
             const auto& backend = *(*part.backends)[it];
+            const auto availability = state_.notices().availability_of(backend, now);
             if (!is_candidate(backend) || part.is_unreachable(backend.id) ||
+                availability == backend_availability::none ||
                 state_.replicas().draining(backend.id, now) || is_unfit_for_trial(backend, now)) {
                 continue;
             }
-            if (state_.replicas().in_flight(backend.id) >= limit) {
+            const auto allowed = availability == backend_availability::one_request ? 1 : limit;
+            if (state_.replicas().in_flight(backend.id) >= allowed) {
                 busy = true;
                 continue;
             }
@@ -668,6 +693,7 @@
             record_failure(attempt, to_string(result.end));
             return;
         }
+        state_.notices().on_reply(*attempt.backend, result.reply, now);
         if (result.reply.misdirected) {
             replicas.on_failed(id, now);
             replicas.mark_draining(id, now);
@@ -734,12 +760,12 @@
                                           : now + state_.options().refusal_collection_time;
             return;
         }
-        if (result.end == attempt_end::lost && must_not_send(attempt.part)) {
-            retry_after_trial(attempt.part, now);
+        if (result.end == attempt_end::lost && must_not_send(index)) {
+            retry_after_trial(index, now);
             return;
         }
-        retry(attempt.part, executed || replied, now);
-        if (is_trial(attempt.part) && part.state == part_state::failed) {
+        retry(index, executed || replied, now);
+        if (is_trial(index) && part.state == part_state::failed) {
             end_trial(crash_quarantine::trial_outcome::not_run, now);
             fail_after_trial();
         }
@@ -792,7 +818,7 @@
         const auto needed = failed_part_count() > spare ? failed_part_count() - spare : 0;
         std::vector<std::size_t> within_budget;
         for (std::size_t it = 0; it < parts_.size(); ++it) {
-            if (parts_[it].state == part_state::refused &&
+            if (parts_[it].state == part_state::refused && is_servable(parts_[it], state_, now) &&
                 budget_of(parts_[it], now).available_reserved(now)) {
                 within_budget.push_back(it);
             }
@@ -888,11 +914,11 @@
             return;
         }
         if (parts_.size() - failed < needed_part_count() && !refusal_collection_end_) {
-            fail();
+            fail(now);
             return;
         }
         if (now >= limits_.final_deadline) {
-            time_out();
+            time_out(now);
             return;
         }
         if (wait_deadline_ && now >= *wait_deadline_ && has_not_run()) {
@@ -939,7 +965,7 @@
         finish(std::move(answer));
     }
 
-    void fail() {
+    void fail(kernel::time_point now) {
         auto& first = parts_.front();
         if (!is_gather() && first.reply) {
             forward_reply(std::move(*first.reply));
@@ -947,18 +973,19 @@
         }
         answer_without_reply(
             answer_kind::failed, "no backend server accepted the request",
-            is_gather() ? "too few shards answered" : "no reply from a backend server");
+            is_gather() ? "too few shards answered" : "no reply from a backend server", now);
     }
 
-    void time_out() {
+    void time_out(kernel::time_point now) {
         answer_without_reply(answer_kind::timed_out, "no backend server was free in time",
-                             is_gather() ? "too few shards answered in time" : "no reply in time");
+                             is_gather() ? "too few shards answered in time" : "no reply in time",
+                             now);
     }
 
     void answer_without_reply(answer_kind kind, std::string_view reason_if_not_run,
-                              std::string_view reason) {
+                              std::string_view reason, kernel::time_point now) {
         if (has_not_run()) {
-            refuse(reason_if_not_run);
+            refuse_until_servable(reason_if_not_run, now);
             return;
         }
         gateway_answer answer;
@@ -967,19 +994,28 @@
         finish(std::move(answer));
     }
 
-    void refuse(std::string_view reason) {
+    void refuse(std::string_view reason, kernel::duration min_wait = kernel::duration::zero()) {
+        // After a longer wait, clients return over a longer time too.
+        constexpr int spread_divisor = 4;
         const auto& options = state_.options();
-        const auto range = options.max_retry_after - options.min_retry_after;
+        const auto spread = std::max<kernel::duration>(
+            options.max_retry_after - options.min_retry_after, min_wait / spread_divisor);
         gateway_answer answer;
         answer.kind = answer_kind::not_run;
         answer.reason = reason;
         answer.retry_after =
-            options.min_retry_after +
+            std::max(min_wait, options.min_retry_after) +
             kernel::duration{static_cast<kernel::duration::rep>(
-                kernel::uniform_unit(state_.random()) * static_cast<double>(range.count()))};
+                kernel::uniform_unit(state_.random()) * static_cast<double>(spread.count()))};
         finish(std::move(answer));
     }
 
+    /// Refuses the request. If its services have announced pauses, the client may return after
+    /// them.
+    void refuse_until_servable(std::string_view reason, kernel::time_point now) {
+        refuse(reason, time_until_servable(parts_, needed_part_count(), state_, now));
+    }
+
     void finish(gateway_answer answer) {
         finished_ = true;
         leave_wait_lists();
--- a/packages/gateway/traffic_state.h
+++ b/packages/gateway/traffic_state.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "gateway/backend_notices.h"
 #include "gateway/client_request.h"
 #include "gateway/crash_quarantine.h"
 #include "gateway/fleet_view.h"
@@ -46,7 +47,10 @@
         options_ = std::move(options);
     }
     routing::replica_stats& replicas() { return replicas_; }
+    [[nodiscard]] const routing::replica_stats& replicas() const { return replicas_; }
     crash_quarantine& quarantine() { return quarantine_; }
+    backend_notices& notices() { return notices_; }
+    [[nodiscard]] const backend_notices& notices() const { return notices_; }
     metrics::counter_set& counters() { return counters_; }
     wait_list<waiter>& waiting() { return waiting_; }
     kernel::seeded_random_source& random() { return random_; }
@@ -175,6 +179,7 @@
     std::optional<kernel::time_point> started_;
     routing::replica_stats replicas_;
     crash_quarantine quarantine_;
+    backend_notices notices_;
     metrics::counter_set counters_;
     wait_list<waiter> waiting_;
     std::map<std::string, route_statistics, std::less<>> routes_;
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -24,6 +24,7 @@
 #include "proxy/fleet_publisher.h"
 #include "proxy/front_server.h"
 #include "proxy/gateway_settings.h"
+#include "proxy/request_log.h"
 #include "runtime/http_server.h"
 #include "runtime/thread_set.h"
 
@@ -55,6 +56,7 @@
         }
         module->register_delegation_handlers(context);
         connect_quarantines(module->contexts_, context.require<crash_channel>());
+        share_notices(module->contexts_);
         publisher->on_published([contexts = module->contexts_] { post_view_update(contexts); });
         context.require<kernel::reload_handlers>()->add(
             [contexts = module->contexts_](const kernel::settings& next) {
@@ -153,6 +155,26 @@
         });
     }
 
+    /// Passes the notices of backend servers that one traffic thread receives to the others.
+    static void share_notices(const context_list& contexts) {
+        const std::vector<std::weak_ptr<traffic_context<Protocol>>> weak_contexts{contexts.begin(),
+                                                                                  contexts.end()};
+        for (const auto& receiver : contexts) {
+            receiver->state.notices().set_publication(
+                [weak_contexts, own = receiver.get()](const gateway::backend_notice& notice) {
+                    log_backend_notice(notice);
+                    for (const auto& weak : weak_contexts) {
+                        const auto it = weak.lock();
+                        if (it != nullptr && it.get() != own) {
+                            boost::asio::post(it->thread->context(), [it, notice] {
+                                it->state.notices().on_notice(notice);
+                            });
+                        }
+                    }
+                });
+        }
+    }
+
     /// Enables delegation of gathers to other instances, and executes gathers that they delegate.
     void register_delegation_handlers(kernel::module_context& context) {
         const auto link = context.require<daemon::peer_link>();
--- a/packages/proxy/internal/request_log.cpp
+++ b/packages/proxy/internal/request_log.cpp
@@ -56,6 +56,19 @@
         request.id, request.fingerprint, backend.id.text(), backend.service.text(), finished);
 }
 
+void log_probe_result(const gateway::client_request& request, const gateway::backend_entry& backend,
+                      bool accepts_connections) {
+    spdlog::info("event=probe request={} server={} service={} accepts_connections={}", request.id,
+                 backend.id.text(), backend.service.text(), accepts_connections);
+}
+
+void log_backend_notice(const gateway::backend_notice& notice) {
+    const auto pause =
+        notice.paused_until ? *notice.paused_until - notice.received : kernel::duration::zero();
+    spdlog::info("event=backend_notice server={} started_ms={} leaving={} pause_ms={:.0f}",
+                 notice.server.text(), notice.started_ms, notice.leaving, ms(pause));
+}
+
 void log_client_disconnected(const gateway::client_request& request, const gateway::route& route,
                              const gateway::request_summary& summary, kernel::duration elapsed) {
     spdlog::info(
--- a/packages/proxy/request_log.h
+++ b/packages/proxy/request_log.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "gateway/backend_entry.h"
+#include "gateway/backend_notices.h"
 #include "gateway/client_request.h"
 #include "gateway/delegated_gather.h"
 #include "gateway/gateway_answer.h"
@@ -20,6 +21,13 @@
 void log_attempt_lost(const gateway::client_request& request, const gateway::backend_entry& backend,
                       bool finished);
 
+/// Logs whether `backend`, which lost the connection of a request, accepts new ones. Thread-safe.
+void log_probe_result(const gateway::client_request& request, const gateway::backend_entry& backend,
+                      bool accepts_connections);
+
+/// Logs what a backend server has announced in a reply. Thread-safe.
+void log_backend_notice(const gateway::backend_notice& notice);
+
 /// Logs a request whose client disconnected before the answer. Thread-safe.
 void log_client_disconnected(const gateway::client_request& request, const gateway::route& route,
                              const gateway::request_summary& summary, kernel::duration elapsed);
--- a/packages/proxy/traffic_context.h
+++ b/packages/proxy/traffic_context.h
@@ -70,6 +70,7 @@
             }
         }
         known_backends = std::move(known);
+        state.notices().retain([&](const auto& it) { return known_backends.contains(it); }, now);
         if (delegated_gathers != nullptr) {
             std::set<std::string> addresses;
             for (const auto& it : current->delegates) {
