Share the observed round trip to clients among all routes

Cause: how long before its objective a gather is answered was learned for each route from new connections of clients. Change: the shortest round trip of all routes applies to each of them, and 6 ms are assumed until one is observed.

--- a/packages/gateway/session_options.h
+++ b/packages/gateway/session_options.h
@@ -9,9 +9,11 @@
 
 /// Parameters of the gateway's decisions. Some of them come from the settings.
 struct session_options {
-    /// How long before the objective an incomplete gather is answered. It is a lower bound once the
-    /// round trip to the client and the delay of answers are known.
+    /// Lower bound of how long before the objective an incomplete gather is answered.
     kernel::duration answer_margin = std::chrono::milliseconds{10};
+    /// Network round trip to clients that is assumed until one is observed. Clients on open
+    /// connections show none, and in a large fleet an instance serves few others.
+    kernel::duration assumed_round_trip = std::chrono::milliseconds{6};
     /// Delay that an instance cannot observe, of requests before they are read and of answers after
     /// they are written. At small instances clients observe about 9 ms more than the instance, of
     /// which 6 ms are the network round trip.
--- a/packages/gateway/traffic_state.h
+++ b/packages/gateway/traffic_state.h
@@ -71,13 +71,11 @@
 
     /// How long before its objective a gather has to be answered so that the client receives the
     /// answer in time.
-    [[nodiscard]] kernel::duration answer_margin(const route_statistics& statistics,
-                                                 gather_location location) {
+    [[nodiscard]] kernel::duration answer_margin(gather_location location) {
         constexpr int max_margins = 4;
-        const auto round_trip = statistics.round_trip();
-        return round_trip ? std::clamp(*round_trip + delay_of(location) + options_.unobserved_delay,
-                                       options_.answer_margin, options_.answer_margin * max_margins)
-                          : options_.answer_margin;
+        const auto round_trip = round_trip_.value_or(options_.assumed_round_trip);
+        return std::clamp(round_trip + delay_of(location) + options_.unobserved_delay,
+                          options_.answer_margin, options_.answer_margin * max_margins);
     }
 
     /// The limits of a client's request. Records its time-out in the statistics of the route.
@@ -88,12 +86,15 @@
                                         ? request.client_timeout
                                         : route.timeout;
         statistics.observe_client_timeout(client_timeout, route.timeout);
+        if (const auto observed = statistics.round_trip()) {
+            round_trip_ = std::min(round_trip_.value_or(*observed), *observed);
+        }
         const auto spent = statistics.elapsed_since_first_attempt(client_timeout);
         session_limits limits;
         limits.max_attempts = route.max_attempts;
         limits.final_deadline = request.received + std::min(client_timeout, route.timeout) -
                                 options_.final_deadline_margin;
-        auto left = route.objective - spent - answer_margin(statistics, location);
+        auto left = route.objective - spent - answer_margin(location);
         if (left <= kernel::duration::zero()) {
             // The objective cannot be met. The gather waits up to half of the objective for a
             // complete answer.
@@ -183,6 +184,8 @@
     metrics::counter_set counters_;
     wait_list<waiter> waiting_;
     std::map<std::string, route_statistics, std::less<>> routes_;
+    /// The shortest round trip to clients that was observed on any route.
+    std::optional<kernel::duration> round_trip_;
     kernel::duration local_answer_delay_ = std::chrono::milliseconds{7};
     kernel::duration delegated_answer_delay_ = std::chrono::milliseconds{10};
     std::map<model::service_id, retry::retry_budget> budgets_;
