Keep parts of gathers in their data centre after a single late reply

Cause: a backend server pauses for about 100 ms every few seconds. Change: the cost of another data centre is 4 in place of 2. The cost of a delegate that is far from the shards stays at 2, in a constant of its own.

--- a/packages/gateway/gather_delegation.h
+++ b/packages/gateway/gather_delegation.h
@@ -188,12 +188,14 @@
     }
 
     [[nodiscard]] double cost_factor(const registered_instance& delegate) const {
-        // Less than `remote_cost`, since only the answer is sent between the data centres and not
-        // the parts of all shards.
+        // Only the answer is sent between the data centres of the instance and the delegate, but
+        // the parts of all shards between those of the shards and the delegate. Both costs together
+        // are less than that of a delegate that has just failed.
         constexpr double remote_delegate_cost = 1.3;
+        constexpr double remote_shards_cost = 2;
         const double delegate_cost =
             delegate.data_centre == state_.options().data_centre ? 1 : remote_delegate_cost;
-        return delegate_cost * (is_near_first_shard(delegate) ? 1 : state_.options().remote_cost);
+        return delegate_cost * (is_near_first_shard(delegate) ? 1 : remote_shards_cost);
     }
 
     /// Whether the first shard has a backend server in the delegate's data centre.
--- a/packages/gateway/session_options.h
+++ b/packages/gateway/session_options.h
@@ -53,8 +53,9 @@
     double connection_fraction = 0.9;
     /// Maximum number of connections of one instance to one backend server.
     std::uint32_t max_connections_per_backend = 4;
-    /// Cost of a backend server in another data centre, relative to one in the same data centre.
-    double remote_cost = 2;
+    /// Cost of a backend server in another data centre, relative to one in the same data centre. A
+    /// single late reply of the near one must not outweigh it.
+    double remote_cost = 4;
     /// Cost of a backend server during its warm-up, relative to one after it.
     double cold_cost = 1.6;
     /// Delay from the client's disconnection until its attempts are cancelled. Cancelling an
