--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -307,7 +307,7 @@
 }
 
 /// Keys with revisions, ranges in pages, watches, leases and transactions, all linearizable. Values
-/// are kept as they are written, encoded as base64 text.
+/// are kept as they are written, encoded as base64 text. Changes are known for `history_time`.
 class store {
 public:
     explicit store(int port) : port_(port), acceptor_(port, [this](int fd) { serve(fd); }) {}
@@ -345,6 +345,7 @@
         std::uint64_t revision = 0;
         std::string key;
         boost::json::object json;
+        steady::time_point at = steady::now();
     };
     struct lease {
         std::int64_t ttl_ms = 0;
@@ -510,6 +511,13 @@
         const auto after = std::strtoull(query["after"].c_str(), nullptr, 10);
         const auto until = steady::now() + milliseconds{std::atoll(query["waitMs"].c_str())};
         while (true) {
+            while (!history_.empty() && steady::now() - history_.front().at > history_time) {
+                dropped_until_ = history_.front().revision;
+                history_.pop_front();
+            }
+            if (after < dropped_until_) {
+                return {410, "{}"};
+            }
             boost::json::array events;
             for (const auto& it : history_) {
                 if (it.revision > after && it.key.starts_with(query["pathPrefix"])) {
@@ -551,9 +559,14 @@
         return {200, boost::json::serialize(boost::json::object{{"revision", revision_}})};
     }
 
+    /// historyS of the platform's pages.
+    static constexpr auto history_time = std::chrono::seconds{20};
+
     int port_;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
+    /// Changes up to this revision are no longer known.
+    std::uint64_t dropped_until_ = 0;
     std::map<std::string, item> items_;
     std::deque<event> history_;
     std::map<std::uint64_t, lease> leases_;
