Order the review cases by gravity

The cases are unchanged; only their folders have other numbers: crash of the gathering instances, answers of other requests, late copy of a refusal, reload during a stop, storm of large configurations.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,5 +1,5 @@
-// A planned stop under load, and a change of the settings file while it lasts. Checks that each
-// request that was passed on to a leaf gets a complete answer.
+// A part of the requests at the leafs of two shards is refused with Retry-After, as busy leafs do.
+// Checks that the instances stay up and answer the requests that they pass on.
 
 #include "harness.h"
 
@@ -7,81 +7,97 @@
 
 namespace {
 
-constexpr int client_count = 8;
-/// gracePeriodS of the platform's pages.
-constexpr double grace_ms = 6000;
-constexpr double reload_after_ms = 1000;
-constexpr int client_deadline_ms = 4000;
+constexpr int shard_count = 20;
+constexpr int leafs_per_shard = 2;
+constexpr int small_instances = 4;
+constexpr int large_instances = 2;
+constexpr int instance_count = small_instances + large_instances;
+constexpr int clients_per_instance = 6;
+constexpr int client_deadline_ms = 800;
+constexpr int work_ms = 20;
+/// The leafs of these shards are busy at times: 10% of the leafs.
+constexpr int busy_shards = 2;
+/// The part of the requests that a busy leaf refuses, after it has kept them in its queue.
+constexpr double refused_fraction = 0.45;
+constexpr int queue_ms = 100;
+constexpr const char* retry_after = "0.3";
+constexpr int busy_ms = 6500;
+constexpr int calm_ms = 4500;
+constexpr int rounds = 6;
+constexpr int restart_delay_ms = 300;
 
-struct sent_request {
+std::mutex mutex;
+/// Requests that a leaf other than the busy ones has run.
+std::set<std::string> run_by_sound_leaf;
+struct cut_request {
     std::string id;
-    double sent = 0;
-    double ended = 0;
-    /// Status of the complete answer; 0 if the connection ended without one.
-    int status = 0;
-    message_reader::outcome outcome = message_reader::outcome::closed;
+    std::string instance;
 };
-
-std::mutex mutex;
-std::vector<sent_request> requests;
-std::map<std::string, double> runs;
+/// Requests on kept connections that ended without an answer.
+std::vector<cut_request> cut;
+std::atomic<int> request_count = 0;
+std::atomic<int> success_count = 0;
 std::atomic<bool> clients_stop = false;
-std::atomic<bool> stopping = false;
+std::atomic<bool> busy = false;
 
-bool run_request(leaf& self, const http_message& request, int fd) {
-    const auto id = request.field("request-id");
-    {
-        const std::lock_guard lock{mutex};
-        runs[id] = record->ms();
-    }
-    thread_local std::mt19937 random{std::random_device{}()};
-    // The work of the kind pole-ledger: 160 ms on average, 960 ms at most.
-    const int work = std::uniform_int_distribution{80, 240}(random);
-    record->line("leaf %s runs %s for %d ms", self.id().c_str(), id.c_str(), work);
-    sleep_ms(work);
-    return send_all(fd, response(id, "stamp-" + id, "body of " + id));
+leaf::handler gather_handler(bool busy_at_times) {
+    return [busy_at_times](leaf& self, const http_message& request, int fd) {
+        thread_local std::mt19937 random{std::random_device{}()};
+        std::uniform_real_distribution<double> unit{0, 1};
+        const auto id = request.field("request-id");
+        if (busy_at_times && busy && unit(random) < refused_fraction) {
+            sleep_ms(queue_ms);
+            return send_all(fd, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id +
+                                    "\r\nNot-Executed: 1\r\nRetry-After: " + retry_after +
+                                    "\r\nContent-Length: 0\r\n\r\n");
+        }
+        if (!busy_at_times) {
+            const std::lock_guard lock{mutex};
+            run_by_sound_leaf.insert(id);
+        }
+        sleep_ms(static_cast<std::int64_t>(work_ms * (0.5 + unit(random))));
+        return send_all(fd, response(id, self.service() + "." + self.id() + "." + id,
+                                     std::string(16 * 20, 'r')));
+    };
 }
 
-/// One client: requests on a kept connection, one after the other, until the instance closes it.
-void run_client(int number, int port) {
+/// One client: gathers on a kept connection, one after the other.
+void run_client(int number, const front& instance) {
     int count = 0;
     while (!clients_stop) {
-        const socket_owner connection{connect_to(port)};
+        const socket_owner connection{connect_to(instance.clients_port())};
         if (connection.fd < 0) {
-            if (stopping) {
-                return;
-            }
             sleep_ms(20);
             continue;
         }
         message_reader reader{connection.fd};
+        bool kept = false;
         while (!clients_stop) {
-            sent_request it;
-            it.id = "c" + std::to_string(number) + "-" + std::to_string(++count);
-            const std::string body = "book " + it.id;
-            const auto bytes = "POST /loans/2f HTTP/1.1\r\nHost: registry.example\r\nRequest-Id: " +
-                               it.id + "\r\nDeadline-Ms: " + std::to_string(client_deadline_ms) +
-                               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-                               body;
-            it.sent = record->ms();
-            record->line("client sends %s", it.id.c_str());
-            if (!send_all(connection.fd, bytes)) {
+            const auto id = "c" + std::to_string(number) + "-" + std::to_string(++count);
+            ++request_count;
+            if (!send_all(connection.fd,
+                          "GET /stock/2f HTTP/1.1\r\nHost: registry.example\r\nRequest-Id: " + id +
+                              "\r\nDeadline-Ms: " + std::to_string(client_deadline_ms) +
+                              "\r\n\r\n")) {
                 break;
             }
             http_message answer;
-            it.outcome = reader.read(answer, steady::now() + milliseconds{client_deadline_ms});
-            it.ended = record->ms();
-            const bool complete = it.outcome == message_reader::outcome::complete;
-            it.status = complete ? answer.status() : 0;
-            record->line("client got for %s: %s", it.id.c_str(),
+            const auto outcome =
+                reader.read(answer, steady::now() + milliseconds{client_deadline_ms});
+            const bool complete = outcome == message_reader::outcome::complete;
+            record->line("client of %s got for %s: %s", instance.name().c_str(), id.c_str(),
                          complete ? answer.first_line.c_str() : "no complete answer");
-            {
+            success_count += complete && answer.status() == 200 ? 1 : 0;
+            const bool closed = outcome == message_reader::outcome::closed ||
+                                outcome == message_reader::outcome::broken_off;
+            if (closed && kept) {
                 const std::lock_guard lock{mutex};
-                requests.push_back(it);
+                cut.push_back({id, instance.name()});
             }
             if (!complete || answer.field("connection") == "close") {
                 break;
             }
+            kept = true;
         }
     }
 }
@@ -92,78 +108,125 @@
     const auto given = begin(argc, argv);
     store platform{free_port()};
     std::vector<std::unique_ptr<leaf>> leafs;
-    for (int it = 0; it < 5; ++it) {
-        leafs.push_back(
-            std::make_unique<leaf>("i-ledger" + std::to_string(it), "ledger", run_request));
-        platform.put("servers/" + leafs.back()->id(), leafs.back()->entry(6, "howrah-sheds"));
+    boost::json::array shards;
+    boost::json::array services;
+    for (int shard = 0; shard < shard_count; ++shard) {
+        const auto name = "shed" + std::to_string(shard);
+        shards.push_back(boost::json::string{name});
+        services.push_back({{"name", name}, {"healthPath", "/health"}, {"maxConns", 96}});
+        for (int copy = 0; copy < leafs_per_shard; ++copy) {
+            leafs.push_back(std::make_unique<leaf>("i-" + name + "-" + std::to_string(copy), name,
+                                                   gather_handler(shard < busy_shards)));
+            platform.put("servers/" + leafs.back()->id(), leafs.back()->entry(2, "howrah-sheds"));
+        }
     }
-    platform.put("op/config",
-                 R"({"version":7,"routes":[{"name":"r-loans","hostname":"registry.example",)"
-                 R"("pathPrefix":"/loans/","type":"unsafe","timeoutMs":4000,)"
-                 R"("targetLatencyMs":600,"priority":2,"service":"ledger","maxAttempts":2}],)"
-                 R"("services":[{"name":"ledger","healthPath":"/health","maxConns":105}],)"
-                 R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
-                 R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
-    front instance{given.root,         given.folder,       "front-howrah-sheds-1",
-                   "howrah-sheds",     platform.address(), small_deployment()};
-    instance.start();
-    instance.await_ready();
-    std::vector<std::thread> clients;
-    for (int it = 0; it < client_count; ++it) {
-        clients.emplace_back(run_client, it, instance.clients_port());
+    platform.put(
+        "op/config",
+        boost::json::serialize(boost::json::object{
+            {"version", 7},
+            {"routes",
+             boost::json::array{boost::json::object{{"name", "r-stock"},
+                                                    {"hostname", "registry.example"},
+                                                    {"pathPrefix", "/stock/"},
+                                                    {"type", "safe"},
+                                                    {"timeoutMs", 800},
+                                                    {"targetLatencyMs", 150},
+                                                    {"priority", 1},
+                                                    {"gather", shards},
+                                                    {"maxAttempts", 2},
+                                                    {"topK", 50},
+                                                    {"minCoverage", 0.89}}}},
+            {"services", services},
+            {"limits", boost::json::object{{"maxHeaderBytes", 16384},
+                                           {"maxBodyBytes", 262144},
+                                           {"headerTimeoutMs", 3000},
+                                           {"idleTimeoutMs", 15000}}}}));
+
+    // The capacities of small and large machines of the grown deployments.
+    auto small = small_deployment();
+    small["limits.cpuShare"] = "0.084";
+    auto large = small_deployment();
+    large["limits.cpuShare"] = "0.5";
+    std::vector<std::unique_ptr<front>> fronts;
+    for (int it = 0; it < instance_count; ++it) {
+        fronts.push_back(std::make_unique<front>(
+            given.root, given.folder, "front-howrah-sheds-" + std::to_string(it + 1),
+            "howrah-sheds", platform.address(), it < small_instances ? small : large));
     }
-    // Longer than contactMs, so that the instance is in touch.
-    sleep_ms(6000);
+    std::string seeds;
+    for (int it = 1; it <= 3; ++it) {
+        seeds += (seeds.empty() ? "" : ",") + fronts[static_cast<std::size_t>(it)]->control_address();
+    }
+    for (auto& it : fronts) {
+        it->set_field("seeds", seeds);
+        it->start();
+    }
+    for (auto& it : fronts) {
+        it->await_ready();
+    }
+    while (platform.count("poplarfront/instances/") < fronts.size()) {
+        sleep_ms(10);
+    }
+    sleep_ms(2000);
 
-    const double term_at = record->ms();
-    stopping = true;
-    record->line("%s: SIGTERM", instance.name().c_str());
-    instance.running().signal(SIGTERM);
-    sleep_ms(static_cast<std::int64_t>(reload_after_ms));
-    if (given.trouble) {
-        instance.set_field("bounds.budgetSlack", "122");
-        record->line("%s: the settings file has changed, SIGHUP", instance.name().c_str());
-        instance.running().signal(SIGHUP);
+    std::vector<std::thread> clients;
+    for (int it = 0; it < clients_per_instance * instance_count; ++it) {
+        clients.emplace_back([it, &fronts] {
+            run_client(it, *fronts[static_cast<std::size_t>(it % instance_count)]);
+        });
     }
-    const bool ended = instance.running().await_end(
-        static_cast<std::int64_t>(term_at + grace_ms - record->ms()));
-    const double ended_at = record->ms();
-    const auto state = instance.running().state();
-    record->line("%s: %s, %.0f ms after SIGTERM", instance.name().c_str(), state.c_str(),
-                 ended_at - term_at);
-    if (!ended) {
-        instance.running().signal(SIGKILL);
+    // Number of times that the process of an instance has ended by itself.
+    std::map<std::string, int> ends;
+    const auto watch_processes = [&](int time_ms) {
+        const auto until = steady::now() + milliseconds{time_ms};
+        while (steady::now() < until) {
+            for (auto& it : fronts) {
+                if (it->running().ended()) {
+                    ++ends[it->name()];
+                    record->line("%s: its process has ended by itself: %s", it->name().c_str(),
+                                 it->running().state().c_str());
+                    sleep_ms(restart_delay_ms);
+                    it->start();
+                }
+            }
+            sleep_ms(5);
+        }
+    };
+    for (int round = 0; round < rounds; ++round) {
+        watch_processes(calm_ms);
+        busy = given.trouble;
+        record->line("%s", busy ? "the leafs of two shards are busy" : "no leaf is busy");
+        watch_processes(busy_ms);
+        busy = false;
     }
+    watch_processes(calm_ms);
     clients_stop = true;
     for (auto& it : clients) {
         it.join();
     }
 
-    // LOST, around planned work: read, passed on to a leaf, and the connection ended without a
-    // complete answer. The leafs never break off and are done within 240 ms, so no excuse holds
-    // unless the leaf was still at work in the last sixth of the grace.
     int lost = 0;
-    int answered = 0;
-    for (const auto& it : requests) {
-        const auto run = runs.find(it.id);
-        if (it.status != 0) {
-            ++answered;
-            continue;
-        }
-        const bool cut = it.outcome == message_reader::outcome::closed ||
-                         it.outcome == message_reader::outcome::broken_off;
-        const bool excused = it.ended - term_at >= grace_ms * 5 / 6;
-        if (cut && run != runs.end() && !excused) {
+    for (const auto& it : cut) {
+        if (run_by_sound_leaf.contains(it.id)) {
             ++lost;
-            record->line("LOST: %s was run by a leaf from %.1f, its connection ended at %.1f",
-                         it.id.c_str(), run->second, it.ended);
+            record->line("LOST: %s was run by sound leafs, and %s closed its connection",
+                         it.id.c_str(), it.instance.c_str());
         }
     }
-    record->line("answered %d, lost %d, process: %s", answered, lost, state.c_str());
-    if (answered < 100) {
-        cannot_run("too few requests were answered");
+    int all_ends = 0;
+    for (const auto& [name, count] : ends) {
+        all_ends += count;
+        record->line("%s: its process has ended by itself %d times", name.c_str(), count);
+    }
+    record->line("requests %d, successes %d, lost on kept connections %d, processes that ended by "
+                 "themselves %d on %zu instances",
+                 request_count.load(), success_count.load(), lost, all_ends, ends.size());
+    std::printf("requests %d, successes %d, lost on kept connections %d, processes that ended by "
+                "themselves %d on %zu instances\n",
+                request_count.load(), success_count.load(), lost, all_ends, ends.size());
+    if (success_count < 500) {
+        cannot_run("too few successes");
     }
-    std::printf("answered %d, passed on and never answered %d, process: %s\n", answered, lost,
-                state.c_str());
-    finish(lost > 0 ? exit_broken : exit_held);
+    // The rule allows three.
+    finish(lost > 3 ? exit_broken : exit_held);
 }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,5 +1,5 @@
-// A large configuration changes in quick succession. Checks that requests are handled as the newest
-// version says, within the time that the platform allows, at calm instances.
+// A planned stop under load, and a change of the settings file while it lasts. Checks that each
+// request that was passed on to a leaf gets a complete answer.
 
 #include "harness.h"
 
@@ -7,204 +7,163 @@
 
 namespace {
 
-constexpr int instance_count = 4;
-/// configApplyMs and drainMs of the platform's pages.
-constexpr double config_apply_ms = 3000;
-constexpr double drain_ms = 3000;
-/// The configuration has this many routes besides the one that the clients use.
-constexpr int idle_routes = 5 * 350;
-constexpr int shard_count = 30;
-/// A storm: a change each 0.33 s for 4 s.
-constexpr int storm_changes = 12;
-constexpr int storm_gap_ms = 330;
-constexpr int first_version = 7;
-/// The version that moves the clients' route to another service.
-constexpr int moving_version = 12;
-/// Without the storm, the same number of changes.
-constexpr int calm_gap_ms = 2000;
-constexpr int observed_after_ms = 25'000;
+constexpr int client_count = 8;
+/// gracePeriodS of the platform's pages.
+constexpr double grace_ms = 6000;
+constexpr double reload_after_ms = 1000;
+constexpr int client_deadline_ms = 4000;
 
-struct run {
+struct sent_request {
     std::string id;
-    std::string service;
-    std::string leaf;
-    double at = 0;
+    double sent = 0;
+    double ended = 0;
+    /// Status of the complete answer; 0 if the connection ended without one.
+    int status = 0;
+    message_reader::outcome outcome = message_reader::outcome::closed;
 };
+
 std::mutex mutex;
-std::map<std::string, double> sent_at;
-std::vector<run> runs;
+std::vector<sent_request> requests;
+std::map<std::string, double> runs;
 std::atomic<bool> clients_stop = false;
-std::atomic<int> success_count = 0;
+std::atomic<bool> stopping = false;
 
 bool run_request(leaf& self, const http_message& request, int fd) {
     const auto id = request.field("request-id");
     {
         const std::lock_guard lock{mutex};
-        runs.push_back({id, self.service(), self.id(), record->ms()});
+        runs[id] = record->ms();
     }
-    sleep_ms(20);
-    return send_all(fd, response(id, "stamp-" + id, "from " + self.service()));
+    thread_local std::mt19937 random{std::random_device{}()};
+    // The work of the kind pole-ledger: 160 ms on average, 960 ms at most.
+    const int work = std::uniform_int_distribution{80, 240}(random);
+    record->line("leaf %s runs %s for %d ms", self.id().c_str(), id.c_str(), work);
+    sleep_ms(work);
+    return send_all(fd, response(id, "stamp-" + id, "body of " + id));
 }
 
+/// One client: requests on a kept connection, one after the other, until the instance closes it.
 void run_client(int number, int port) {
     int count = 0;
     while (!clients_stop) {
         const socket_owner connection{connect_to(port)};
         if (connection.fd < 0) {
+            if (stopping) {
+                return;
+            }
             sleep_ms(20);
             continue;
         }
         message_reader reader{connection.fd};
         while (!clients_stop) {
-            const auto id = "c" + std::to_string(number) + "-" + std::to_string(++count);
-            {
-                const std::lock_guard lock{mutex};
-                sent_at[id] = record->ms();
-            }
-            if (!send_all(connection.fd,
-                          "GET /ledger/2f HTTP/1.1\r\nHost: registry.example\r\nRequest-Id: " + id +
-                              "\r\nDeadline-Ms: 4000\r\n\r\n")) {
+            sent_request it;
+            it.id = "c" + std::to_string(number) + "-" + std::to_string(++count);
+            const std::string body = "book " + it.id;
+            const auto bytes = "POST /loans/2f HTTP/1.1\r\nHost: registry.example\r\nRequest-Id: " +
+                               it.id + "\r\nDeadline-Ms: " + std::to_string(client_deadline_ms) +
+                               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                               body;
+            it.sent = record->ms();
+            record->line("client sends %s", it.id.c_str());
+            if (!send_all(connection.fd, bytes)) {
                 break;
             }
             http_message answer;
-            const auto outcome = reader.read(answer, steady::now() + milliseconds{4000});
-            const bool complete = outcome == message_reader::outcome::complete;
-            record->line("client got for %s: %s, %s", id.c_str(),
-                         complete ? answer.first_line.c_str() : "no complete answer",
-                         answer.body.c_str());
-            success_count += complete && answer.status() == 200 ? 1 : 0;
+            it.outcome = reader.read(answer, steady::now() + milliseconds{client_deadline_ms});
+            it.ended = record->ms();
+            const bool complete = it.outcome == message_reader::outcome::complete;
+            it.status = complete ? answer.status() : 0;
+            record->line("client got for %s: %s", it.id.c_str(),
+                         complete ? answer.first_line.c_str() : "no complete answer");
+            {
+                const std::lock_guard lock{mutex};
+                requests.push_back(it);
+            }
             if (!complete || answer.field("connection") == "close") {
                 break;
             }
-            sleep_ms(30);
         }
     }
 }
 
-boost::json::object route(const std::string& name, const std::string& prefix) {
-    return {{"name", name},        {"hostname", "registry.example"},
-            {"pathPrefix", prefix}, {"type", "safe"},
-            {"timeoutMs", 4000},   {"targetLatencyMs", 600},
-            {"priority", 2},       {"maxAttempts", 2}};
-}
-
-std::string configuration(int version, const std::string& service) {
-    boost::json::array shards;
-    boost::json::array services{
-        boost::json::object{{"name", "old-ledger"}, {"healthPath", "/health"}, {"maxConns", 105}},
-        boost::json::object{{"name", "new-ledger"}, {"healthPath", "/health"}, {"maxConns", 105}}};
-    for (int it = 0; it < shard_count; ++it) {
-        const auto name = "shed" + std::to_string(100 + it);
-        shards.push_back(boost::json::string{name});
-        services.push_back(
-            boost::json::object{{"name", name}, {"healthPath", "/health"}, {"maxConns", 96}});
-    }
-    boost::json::array routes;
-    auto used = route("r-ledger", "/ledger/");
-    used["service"] = service;
-    routes.push_back(used);
-    for (int it = 0; it < idle_routes; ++it) {
-        auto idle = route("r-idle" + std::to_string(it), "/idle" + std::to_string(it) + "/");
-        idle["gather"] = shards;
-        idle["topK"] = 50;
-        idle["minCoverage"] = 0.89;
-        routes.push_back(idle);
-    }
-    return boost::json::serialize(boost::json::object{
-        {"version", version},
-        {"routes", routes},
-        {"services", services},
-        {"limits", boost::json::object{{"maxHeaderBytes", 16384},
-                                       {"maxBodyBytes", 262144},
-                                       {"headerTimeoutMs", 3000},
-                                       {"idleTimeoutMs", 15000 + version}}}});
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
     const auto given = begin(argc, argv);
     store platform{free_port()};
     std::vector<std::unique_ptr<leaf>> leafs;
-    for (int it = 0; it < 6; ++it) {
-        const std::string service = it < 3 ? "old-ledger" : "new-ledger";
-        leafs.push_back(std::make_unique<leaf>("i-" + service + std::to_string(it), service,
-                                               run_request));
+    for (int it = 0; it < 5; ++it) {
+        leafs.push_back(
+            std::make_unique<leaf>("i-ledger" + std::to_string(it), "ledger", run_request));
         platform.put("servers/" + leafs.back()->id(), leafs.back()->entry(6, "howrah-sheds"));
     }
-    const auto first = configuration(first_version, "old-ledger");
-    record->line("the configuration has %zu bytes; the store allows 1048576", first.size());
-    if (first.size() > 1048576) {
-        cannot_run("the configuration is too large");
-    }
-    platform.put("op/config", first);
-    std::vector<std::unique_ptr<front>> fronts;
-    for (int it = 0; it < instance_count; ++it) {
-        fronts.push_back(std::make_unique<front>(
-            given.root, given.folder, "front-howrah-sheds-" + std::to_string(it + 1),
-            "howrah-sheds", platform.address(), small_deployment()));
-        fronts.back()->start();
-    }
-    for (auto& it : fronts) {
-        it->await_ready();
-    }
+    platform.put("op/config",
+                 R"({"version":7,"routes":[{"name":"r-loans","hostname":"registry.example",)"
+                 R"("pathPrefix":"/loans/","type":"unsafe","timeoutMs":4000,)"
+                 R"("targetLatencyMs":600,"priority":2,"service":"ledger","maxAttempts":2}],)"
+                 R"("services":[{"name":"ledger","healthPath":"/health","maxConns":105}],)"
+                 R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
+                 R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
+    front instance{given.root,         given.folder,       "front-howrah-sheds-1",
+                   "howrah-sheds",     platform.address(), small_deployment()};
+    instance.start();
+    instance.await_ready();
     std::vector<std::thread> clients;
-    for (int it = 0; it < 2 * instance_count; ++it) {
-        clients.emplace_back(run_client, it,
-                             fronts[static_cast<std::size_t>(it % instance_count)]->clients_port());
+    for (int it = 0; it < client_count; ++it) {
+        clients.emplace_back(run_client, it, instance.clients_port());
     }
-    // Longer than contactMs.
+    // Longer than contactMs, so that the instance is in touch.
     sleep_ms(6000);
 
-    double moved_at = 0;
-    double draining_at = 0;
-    const auto& drained = leafs.front();
-    for (int it = 0; it < storm_changes; ++it) {
-        // One change moves the route; the others change the limits only.
-        const int version = first_version + 1 + it;
-        const auto next =
-            configuration(version, version < moving_version ? "old-ledger" : "new-ledger");
-        platform.put("op/config", next);
-        record->line("version %d is acknowledged", version);
-        if (version == moving_version) {
-            moved_at = record->ms();
-            platform.put("servers/" + drained->id(), drained->entry(6, "howrah-sheds", "draining"));
-            draining_at = record->ms();
-            record->line("%s reports that it is draining", drained->id().c_str());
-        }
-        sleep_ms(given.trouble ? storm_gap_ms : calm_gap_ms);
+    const double term_at = record->ms();
+    stopping = true;
+    record->line("%s: SIGTERM", instance.name().c_str());
+    instance.running().signal(SIGTERM);
+    sleep_ms(static_cast<std::int64_t>(reload_after_ms));
+    if (given.trouble) {
+        instance.set_field("bounds.budgetSlack", "122");
+        record->line("%s: the settings file has changed, SIGHUP", instance.name().c_str());
+        instance.running().signal(SIGHUP);
+    }
+    const bool ended = instance.running().await_end(
+        static_cast<std::int64_t>(term_at + grace_ms - record->ms()));
+    const double ended_at = record->ms();
+    const auto state = instance.running().state();
+    record->line("%s: %s, %.0f ms after SIGTERM", instance.name().c_str(), state.c_str(),
+                 ended_at - term_at);
+    if (!ended) {
+        instance.running().signal(SIGKILL);
     }
-    sleep_ms(observed_after_ms);
     clients_stop = true;
     for (auto& it : clients) {
         it.join();
     }
-    double last_old_ms = 0;
-    int old_runs = 0;
-    int late_at_drained = 0;
-    for (const auto& it : runs) {
-        const double sent = sent_at[it.id];
-        if (sent > moved_at + config_apply_ms && it.service == "old-ledger") {
-            ++old_runs;
-            last_old_ms = std::max(last_old_ms, sent - moved_at);
-            record->line("CONFIG: %s, sent %.0f ms after the acknowledgement of version %d, is run "
-                         "by %s",
-                         it.id.c_str(), sent - moved_at, moving_version, it.leaf.c_str());
+
+    // LOST, around planned work: read, passed on to a leaf, and the connection ended without a
+    // complete answer. The leafs never break off and are done within 240 ms, so no excuse holds
+    // unless the leaf was still at work in the last sixth of the grace.
+    int lost = 0;
+    int answered = 0;
+    for (const auto& it : requests) {
+        const auto run = runs.find(it.id);
+        if (it.status != 0) {
+            ++answered;
+            continue;
         }
-        if (it.at > draining_at + drain_ms && it.leaf == drained->id()) {
-            ++late_at_drained;
+        const bool cut = it.outcome == message_reader::outcome::closed ||
+                         it.outcome == message_reader::outcome::broken_off;
+        const bool excused = it.ended - term_at >= grace_ms * 5 / 6;
+        if (cut && run != runs.end() && !excused) {
+            ++lost;
+            record->line("LOST: %s was run by a leaf from %.1f, its connection ended at %.1f",
+                         it.id.c_str(), run->second, it.ended);
         }
     }
-    record->line("runs %zu, successes %d, run by the old service too late %d, reached the draining "
-                 "leaf too late %d",
-                 runs.size(), success_count.load(), old_runs, late_at_drained);
-    record->line("last request that was run by the old service: %.0f ms after the acknowledgement",
-                 last_old_ms);
-    std::printf("runs %zu, successes %d, run by the old service too late %d, reached the draining "
-                "leaf too late %d\n",
-                runs.size(), success_count.load(), old_runs, late_at_drained);
-    if (success_count < 500) {
-        cannot_run("too few requests were served");
+    record->line("answered %d, lost %d, process: %s", answered, lost, state.c_str());
+    if (answered < 100) {
+        cannot_run("too few requests were answered");
     }
-    finish(old_runs + late_at_drained > 0 ? exit_broken : exit_held);
+    std::printf("answered %d, passed on and never answered %d, process: %s\n", answered, lost,
+                state.c_str());
+    finish(lost > 0 ? exit_broken : exit_held);
 }
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# TROUBLE=0 lets the changes come 2 s apart.
+# TROUBLE=0 leaves the change of the settings out.
 exec "$(dirname "${BASH_SOURCE[0]}")/../common/run_case.sh" "$(dirname "${BASH_SOURCE[0]}")"
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,5 +1,5 @@
-// A part of the requests at the leafs of two shards is refused with Retry-After, as busy leafs do.
-// Checks that the instances stay up and answer the requests that they pass on.
+// A large configuration changes in quick succession. Checks that requests are handled as the newest
+// version says, within the time that the platform allows, at calm instances.
 
 #include "harness.h"
 
@@ -7,226 +7,204 @@
 
 namespace {
 
-constexpr int shard_count = 20;
-constexpr int leafs_per_shard = 2;
-constexpr int small_instances = 4;
-constexpr int large_instances = 2;
-constexpr int instance_count = small_instances + large_instances;
-constexpr int clients_per_instance = 6;
-constexpr int client_deadline_ms = 800;
-constexpr int work_ms = 20;
-/// The leafs of these shards are busy at times: 10% of the leafs.
-constexpr int busy_shards = 2;
-/// The part of the requests that a busy leaf refuses, after it has kept them in its queue.
-constexpr double refused_fraction = 0.45;
-constexpr int queue_ms = 100;
-constexpr const char* retry_after = "0.3";
-constexpr int busy_ms = 6500;
-constexpr int calm_ms = 4500;
-constexpr int rounds = 6;
-constexpr int restart_delay_ms = 300;
+constexpr int instance_count = 4;
+/// configApplyMs and drainMs of the platform's pages.
+constexpr double config_apply_ms = 3000;
+constexpr double drain_ms = 3000;
+/// The configuration has this many routes besides the one that the clients use.
+constexpr int idle_routes = 5 * 350;
+constexpr int shard_count = 30;
+/// A storm: a change each 0.33 s for 4 s.
+constexpr int storm_changes = 12;
+constexpr int storm_gap_ms = 330;
+constexpr int first_version = 7;
+/// The version that moves the clients' route to another service.
+constexpr int moving_version = 12;
+/// Without the storm, the same number of changes.
+constexpr int calm_gap_ms = 2000;
+constexpr int observed_after_ms = 25'000;
 
-std::mutex mutex;
-/// Requests that a leaf other than the busy ones has run.
-std::set<std::string> run_by_sound_leaf;
-struct cut_request {
+struct run {
     std::string id;
-    std::string instance;
+    std::string service;
+    std::string leaf;
+    double at = 0;
 };
-/// Requests on kept connections that ended without an answer.
-std::vector<cut_request> cut;
-std::atomic<int> request_count = 0;
-std::atomic<int> success_count = 0;
+std::mutex mutex;
+std::map<std::string, double> sent_at;
+std::vector<run> runs;
 std::atomic<bool> clients_stop = false;
-std::atomic<bool> busy = false;
+std::atomic<int> success_count = 0;
 
-leaf::handler gather_handler(bool busy_at_times) {
-    return [busy_at_times](leaf& self, const http_message& request, int fd) {
-        thread_local std::mt19937 random{std::random_device{}()};
-        std::uniform_real_distribution<double> unit{0, 1};
-        const auto id = request.field("request-id");
-        if (busy_at_times && busy && unit(random) < refused_fraction) {
-            sleep_ms(queue_ms);
-            return send_all(fd, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id +
-                                    "\r\nNot-Executed: 1\r\nRetry-After: " + retry_after +
-                                    "\r\nContent-Length: 0\r\n\r\n");
-        }
-        if (!busy_at_times) {
-            const std::lock_guard lock{mutex};
-            run_by_sound_leaf.insert(id);
-        }
-        sleep_ms(static_cast<std::int64_t>(work_ms * (0.5 + unit(random))));
-        return send_all(fd, response(id, self.service() + "." + self.id() + "." + id,
-                                     std::string(16 * 20, 'r')));
-    };
+bool run_request(leaf& self, const http_message& request, int fd) {
+    const auto id = request.field("request-id");
+    {
+        const std::lock_guard lock{mutex};
+        runs.push_back({id, self.service(), self.id(), record->ms()});
+    }
+    sleep_ms(20);
+    return send_all(fd, response(id, "stamp-" + id, "from " + self.service()));
 }
 
-/// One client: gathers on a kept connection, one after the other.
-void run_client(int number, const front& instance) {
+void run_client(int number, int port) {
     int count = 0;
     while (!clients_stop) {
-        const socket_owner connection{connect_to(instance.clients_port())};
+        const socket_owner connection{connect_to(port)};
         if (connection.fd < 0) {
             sleep_ms(20);
             continue;
         }
         message_reader reader{connection.fd};
-        bool kept = false;
         while (!clients_stop) {
             const auto id = "c" + std::to_string(number) + "-" + std::to_string(++count);
-            ++request_count;
+            {
+                const std::lock_guard lock{mutex};
+                sent_at[id] = record->ms();
+            }
             if (!send_all(connection.fd,
-                          "GET /stock/2f HTTP/1.1\r\nHost: registry.example\r\nRequest-Id: " + id +
-                              "\r\nDeadline-Ms: " + std::to_string(client_deadline_ms) +
-                              "\r\n\r\n")) {
+                          "GET /ledger/2f HTTP/1.1\r\nHost: registry.example\r\nRequest-Id: " + id +
+                              "\r\nDeadline-Ms: 4000\r\n\r\n")) {
                 break;
             }
             http_message answer;
-            const auto outcome =
-                reader.read(answer, steady::now() + milliseconds{client_deadline_ms});
+            const auto outcome = reader.read(answer, steady::now() + milliseconds{4000});
             const bool complete = outcome == message_reader::outcome::complete;
-            record->line("client of %s got for %s: %s", instance.name().c_str(), id.c_str(),
-                         complete ? answer.first_line.c_str() : "no complete answer");
+            record->line("client got for %s: %s, %s", id.c_str(),
+                         complete ? answer.first_line.c_str() : "no complete answer",
+                         answer.body.c_str());
             success_count += complete && answer.status() == 200 ? 1 : 0;
-            const bool closed = outcome == message_reader::outcome::closed ||
-                                outcome == message_reader::outcome::broken_off;
-            if (closed && kept) {
-                const std::lock_guard lock{mutex};
-                cut.push_back({id, instance.name()});
-            }
             if (!complete || answer.field("connection") == "close") {
                 break;
             }
-            kept = true;
+            sleep_ms(30);
         }
     }
 }
 
+boost::json::object route(const std::string& name, const std::string& prefix) {
+    return {{"name", name},        {"hostname", "registry.example"},
+            {"pathPrefix", prefix}, {"type", "safe"},
+            {"timeoutMs", 4000},   {"targetLatencyMs", 600},
+            {"priority", 2},       {"maxAttempts", 2}};
+}
+
+std::string configuration(int version, const std::string& service) {
+    boost::json::array shards;
+    boost::json::array services{
+        boost::json::object{{"name", "old-ledger"}, {"healthPath", "/health"}, {"maxConns", 105}},
+        boost::json::object{{"name", "new-ledger"}, {"healthPath", "/health"}, {"maxConns", 105}}};
+    for (int it = 0; it < shard_count; ++it) {
+        const auto name = "shed" + std::to_string(100 + it);
+        shards.push_back(boost::json::string{name});
+        services.push_back(
+            boost::json::object{{"name", name}, {"healthPath", "/health"}, {"maxConns", 96}});
+    }
+    boost::json::array routes;
+    auto used = route("r-ledger", "/ledger/");
+    used["service"] = service;
+    routes.push_back(used);
+    for (int it = 0; it < idle_routes; ++it) {
+        auto idle = route("r-idle" + std::to_string(it), "/idle" + std::to_string(it) + "/");
+        idle["gather"] = shards;
+        idle["topK"] = 50;
+        idle["minCoverage"] = 0.89;
+        routes.push_back(idle);
+    }
+    return boost::json::serialize(boost::json::object{
+        {"version", version},
+        {"routes", routes},
+        {"services", services},
+        {"limits", boost::json::object{{"maxHeaderBytes", 16384},
+                                       {"maxBodyBytes", 262144},
+                                       {"headerTimeoutMs", 3000},
+                                       {"idleTimeoutMs", 15000 + version}}}});
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
     const auto given = begin(argc, argv);
     store platform{free_port()};
     std::vector<std::unique_ptr<leaf>> leafs;
-    boost::json::array shards;
-    boost::json::array services;
-    for (int shard = 0; shard < shard_count; ++shard) {
-        const auto name = "shed" + std::to_string(shard);
-        shards.push_back(boost::json::string{name});
-        services.push_back({{"name", name}, {"healthPath", "/health"}, {"maxConns", 96}});
-        for (int copy = 0; copy < leafs_per_shard; ++copy) {
-            leafs.push_back(std::make_unique<leaf>("i-" + name + "-" + std::to_string(copy), name,
-                                                   gather_handler(shard < busy_shards)));
-            platform.put("servers/" + leafs.back()->id(), leafs.back()->entry(2, "howrah-sheds"));
-        }
+    for (int it = 0; it < 6; ++it) {
+        const std::string service = it < 3 ? "old-ledger" : "new-ledger";
+        leafs.push_back(std::make_unique<leaf>("i-" + service + std::to_string(it), service,
+                                               run_request));
+        platform.put("servers/" + leafs.back()->id(), leafs.back()->entry(6, "howrah-sheds"));
     }
-    platform.put(
-        "op/config",
-        boost::json::serialize(boost::json::object{
-            {"version", 7},
-            {"routes",
-             boost::json::array{boost::json::object{{"name", "r-stock"},
-                                                    {"hostname", "registry.example"},
-                                                    {"pathPrefix", "/stock/"},
-                                                    {"type", "safe"},
-                                                    {"timeoutMs", 800},
-                                                    {"targetLatencyMs", 150},
-                                                    {"priority", 1},
-                                                    {"gather", shards},
-                                                    {"maxAttempts", 2},
-                                                    {"topK", 50},
-                                                    {"minCoverage", 0.89}}}},
-            {"services", services},
-            {"limits", boost::json::object{{"maxHeaderBytes", 16384},
-                                           {"maxBodyBytes", 262144},
-                                           {"headerTimeoutMs", 3000},
-                                           {"idleTimeoutMs", 15000}}}}));
-
-    // The capacities of small and large machines of the grown deployments.
-    auto small = small_deployment();
-    small["limits.cpuShare"] = "0.084";
-    auto large = small_deployment();
-    large["limits.cpuShare"] = "0.5";
+    const auto first = configuration(first_version, "old-ledger");
+    record->line("the configuration has %zu bytes; the store allows 1048576", first.size());
+    if (first.size() > 1048576) {
+        cannot_run("the configuration is too large");
+    }
+    platform.put("op/config", first);
     std::vector<std::unique_ptr<front>> fronts;
     for (int it = 0; it < instance_count; ++it) {
         fronts.push_back(std::make_unique<front>(
             given.root, given.folder, "front-howrah-sheds-" + std::to_string(it + 1),
-            "howrah-sheds", platform.address(), it < small_instances ? small : large));
-    }
-    std::string seeds;
-    for (int it = 1; it <= 3; ++it) {
-        seeds += (seeds.empty() ? "" : ",") + fronts[static_cast<std::size_t>(it)]->control_address();
-    }
-    for (auto& it : fronts) {
-        it->set_field("seeds", seeds);
-        it->start();
+            "howrah-sheds", platform.address(), small_deployment()));
+        fronts.back()->start();
     }
     for (auto& it : fronts) {
         it->await_ready();
     }
-    while (platform.count("poplarfront/instances/") < fronts.size()) {
-        sleep_ms(10);
-    }
-    sleep_ms(2000);
-
     std::vector<std::thread> clients;
-    for (int it = 0; it < clients_per_instance * instance_count; ++it) {
-        clients.emplace_back([it, &fronts] {
-            run_client(it, *fronts[static_cast<std::size_t>(it % instance_count)]);
-        });
+    for (int it = 0; it < 2 * instance_count; ++it) {
+        clients.emplace_back(run_client, it,
+                             fronts[static_cast<std::size_t>(it % instance_count)]->clients_port());
     }
-    // Number of times that the process of an instance has ended by itself.
-    std::map<std::string, int> ends;
-    const auto watch_processes = [&](int time_ms) {
-        const auto until = steady::now() + milliseconds{time_ms};
-        while (steady::now() < until) {
-            for (auto& it : fronts) {
-                if (it->running().ended()) {
-                    ++ends[it->name()];
-                    record->line("%s: its process has ended by itself: %s", it->name().c_str(),
-                                 it->running().state().c_str());
-                    sleep_ms(restart_delay_ms);
-                    it->start();
-                }
-            }
-            sleep_ms(5);
+    // Longer than contactMs.
+    sleep_ms(6000);
+
+    double moved_at = 0;
+    double draining_at = 0;
+    const auto& drained = leafs.front();
+    for (int it = 0; it < storm_changes; ++it) {
+        // One change moves the route; the others change the limits only.
+        const int version = first_version + 1 + it;
+        const auto next =
+            configuration(version, version < moving_version ? "old-ledger" : "new-ledger");
+        platform.put("op/config", next);
+        record->line("version %d is acknowledged", version);
+        if (version == moving_version) {
+            moved_at = record->ms();
+            platform.put("servers/" + drained->id(), drained->entry(6, "howrah-sheds", "draining"));
+            draining_at = record->ms();
+            record->line("%s reports that it is draining", drained->id().c_str());
         }
-    };
-    for (int round = 0; round < rounds; ++round) {
-        watch_processes(calm_ms);
-        busy = given.trouble;
-        record->line("%s", busy ? "the leafs of two shards are busy" : "no leaf is busy");
-        watch_processes(busy_ms);
-        busy = false;
+        sleep_ms(given.trouble ? storm_gap_ms : calm_gap_ms);
     }
-    watch_processes(calm_ms);
+    sleep_ms(observed_after_ms);
     clients_stop = true;
     for (auto& it : clients) {
         it.join();
     }
-
-    int lost = 0;
-    for (const auto& it : cut) {
-        if (run_by_sound_leaf.contains(it.id)) {
-            ++lost;
-            record->line("LOST: %s was run by sound leafs, and %s closed its connection",
-                         it.id.c_str(), it.instance.c_str());
+    double last_old_ms = 0;
+    int old_runs = 0;
+    int late_at_drained = 0;
+    for (const auto& it : runs) {
+        const double sent = sent_at[it.id];
+        if (sent > moved_at + config_apply_ms && it.service == "old-ledger") {
+            ++old_runs;
+            last_old_ms = std::max(last_old_ms, sent - moved_at);
+            record->line("CONFIG: %s, sent %.0f ms after the acknowledgement of version %d, is run "
+                         "by %s",
+                         it.id.c_str(), sent - moved_at, moving_version, it.leaf.c_str());
+        }
+        if (it.at > draining_at + drain_ms && it.leaf == drained->id()) {
+            ++late_at_drained;
         }
     }
-    int all_ends = 0;
-    for (const auto& [name, count] : ends) {
-        all_ends += count;
-        record->line("%s: its process has ended by itself %d times", name.c_str(), count);
-    }
-    record->line("requests %d, successes %d, lost on kept connections %d, processes that ended by "
-                 "themselves %d on %zu instances",
-                 request_count.load(), success_count.load(), lost, all_ends, ends.size());
-    std::printf("requests %d, successes %d, lost on kept connections %d, processes that ended by "
-                "themselves %d on %zu instances\n",
-                request_count.load(), success_count.load(), lost, all_ends, ends.size());
+    record->line("runs %zu, successes %d, run by the old service too late %d, reached the draining "
+                 "leaf too late %d",
+                 runs.size(), success_count.load(), old_runs, late_at_drained);
+    record->line("last request that was run by the old service: %.0f ms after the acknowledgement",
+                 last_old_ms);
+    std::printf("runs %zu, successes %d, run by the old service too late %d, reached the draining "
+                "leaf too late %d\n",
+                runs.size(), success_count.load(), old_runs, late_at_drained);
     if (success_count < 500) {
-        cannot_run("too few successes");
+        cannot_run("too few requests were served");
     }
-    // The rule allows three.
-    finish(lost > 3 ? exit_broken : exit_held);
+    finish(old_runs + late_at_drained > 0 ? exit_broken : exit_held);
 }
