--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -124,18 +124,17 @@
         "op/config",
         boost::json::serialize(boost::json::object{
             {"version", 7},
-            {"routes",
-             boost::json::array{boost::json::object{{"name", "r-stock"},
-                                                    {"hostname", "registry.example"},
-                                                    {"pathPrefix", "/stock/"},
-                                                    {"type", "safe"},
-                                                    {"timeoutMs", 800},
-                                                    {"targetLatencyMs", 150},
-                                                    {"priority", 1},
-                                                    {"gather", shards},
-                                                    {"maxAttempts", 2},
-                                                    {"topK", 50},
-                                                    {"minCoverage", 0.89}}}},
+            {"routes", boost::json::array{boost::json::object{{"name", "r-stock"},
+                                                              {"hostname", "registry.example"},
+                                                              {"pathPrefix", "/stock/"},
+                                                              {"type", "safe"},
+                                                              {"timeoutMs", 800},
+                                                              {"targetLatencyMs", 150},
+                                                              {"priority", 1},
+                                                              {"gather", shards},
+                                                              {"maxAttempts", 2},
+                                                              {"topK", 50},
+                                                              {"minCoverage", 0.89}}}},
             {"services", services},
             {"limits", boost::json::object{{"maxHeaderBytes", 16384},
                                            {"maxBodyBytes", 262144},
@@ -155,7 +154,8 @@
     }
     std::string seeds;
     for (int it = 1; it <= 3; ++it) {
-        seeds += (seeds.empty() ? "" : ",") + fronts[static_cast<std::size_t>(it)]->control_address();
+        seeds +=
+            (seeds.empty() ? "" : ",") + fronts[static_cast<std::size_t>(it)]->control_address();
     }
     for (auto& it : fronts) {
         it->set_field("seeds", seeds);
@@ -218,12 +218,14 @@
         all_ends += count;
         record->line("%s: its process has ended by itself %d times", name.c_str(), count);
     }
-    record->line("requests %d, successes %d, lost on kept connections %d, processes that ended by "
-                 "themselves %d on %zu instances",
-                 request_count.load(), success_count.load(), lost, all_ends, ends.size());
-    std::printf("requests %d, successes %d, lost on kept connections %d, processes that ended by "
-                "themselves %d on %zu instances\n",
-                request_count.load(), success_count.load(), lost, all_ends, ends.size());
+    record->line(
+        "requests %d, successes %d, lost on kept connections %d, processes that ended by "
+        "themselves %d on %zu instances",
+        request_count.load(), success_count.load(), lost, all_ends, ends.size());
+    std::printf(
+        "requests %d, successes %d, lost on kept connections %d, processes that ended by "
+        "themselves %d on %zu instances\n",
+        request_count.load(), success_count.load(), lost, all_ends, ends.size());
     if (success_count < 500) {
         cannot_run("too few successes");
     }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,5 +1,6 @@
-// A small instance that delegates its gathers to large ones is killed while gathers are in progress,
-// and started again. Checks that each success that a client gets belongs to its own request.
+// A small instance that delegates its gathers to large ones is killed while gathers are in
+// progress, and started again. Checks that each success that a client gets belongs to its own
+// request.
 
 #include "harness.h"
 
@@ -157,18 +158,17 @@
         "op/config",
         boost::json::serialize(boost::json::object{
             {"version", 7},
-            {"routes",
-             boost::json::array{boost::json::object{{"name", "r-stock"},
-                                                    {"hostname", "registry.example"},
-                                                    {"pathPrefix", "/stock/"},
-                                                    {"type", "safe"},
-                                                    {"timeoutMs", 800},
-                                                    {"targetLatencyMs", 150},
-                                                    {"priority", 1},
-                                                    {"gather", shards},
-                                                    {"maxAttempts", 2},
-                                                    {"topK", top_k},
-                                                    {"minCoverage", 0.89}}}},
+            {"routes", boost::json::array{boost::json::object{{"name", "r-stock"},
+                                                              {"hostname", "registry.example"},
+                                                              {"pathPrefix", "/stock/"},
+                                                              {"type", "safe"},
+                                                              {"timeoutMs", 800},
+                                                              {"targetLatencyMs", 150},
+                                                              {"priority", 1},
+                                                              {"gather", shards},
+                                                              {"maxAttempts", 2},
+                                                              {"topK", top_k},
+                                                              {"minCoverage", 0.89}}}},
             {"services", services},
             {"limits", boost::json::object{{"maxHeaderBytes", 16384},
                                            {"maxBodyBytes", 262144},
@@ -188,7 +188,8 @@
     }
     std::string seeds;
     for (int it = 1; it <= 3; ++it) {
-        seeds += (seeds.empty() ? "" : ",") + fronts[static_cast<std::size_t>(it)]->control_address();
+        seeds +=
+            (seeds.empty() ? "" : ",") + fronts[static_cast<std::size_t>(it)]->control_address();
     }
     for (auto& it : fronts) {
         it->set_field("seeds", seeds);
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,5 @@
-// Leafs send a late second copy of a few of their answers, among them refusals. Checks that a request
-// which may run once at most does not run twice, and is not refused after it has run.
+// Leafs send a late second copy of a few of their answers, among them refusals. Checks that a
+// request which may run once at most does not run twice, and is not refused after it has run.
 
 #include "harness.h"
 
@@ -53,8 +53,7 @@
     if (!send_all(fd, answer)) {
         return false;
     }
-    if (second_answers && number >= leaf_count - garbling_leafs &&
-        unit(random) < garble_fraction) {
+    if (second_answers && number >= leaf_count - garbling_leafs && unit(random) < garble_fraction) {
         sleep_ms(late_ms);
         ++copies;
         record->line("leaf %s sends a second copy of its answer to %s", self.id().c_str(),
@@ -100,8 +99,8 @@
             }
             // Clients honour Retry-After.
             sleep_ms(answer.status() == 503
-                         ? static_cast<std::int64_t>(
-                               1000 * std::atof(answer.field("retry-after").c_str()))
+                         ? static_cast<std::int64_t>(1000 *
+                                                     std::atof(answer.field("retry-after").c_str()))
                          : 20);
         }
     }
@@ -114,11 +113,11 @@
     store platform{free_port()};
     std::vector<std::unique_ptr<leaf>> leafs;
     for (int it = 0; it < leaf_count; ++it) {
-        leafs.push_back(std::make_unique<leaf>(
-            "i-ledger" + std::to_string(it), "ledger",
-            [it](leaf& self, const http_message& request, int fd) {
-                return serve_request(self, it, request, fd);
-            }));
+        leafs.push_back(
+            std::make_unique<leaf>("i-ledger" + std::to_string(it), "ledger",
+                                   [it](leaf& self, const http_message& request, int fd) {
+                                       return serve_request(self, it, request, fd);
+                                   }));
         platform.put("servers/" + leafs.back()->id(), leafs.back()->entry(6, "howrah-sheds"));
     }
     platform.put("op/config",
@@ -141,9 +140,8 @@
     second_answers = given.trouble;
     std::vector<std::thread> clients;
     for (int it = 0; it < instance_count * clients_per_instance; ++it) {
-        clients.emplace_back(
-            run_client, it,
-            fronts[static_cast<std::size_t>(it % instance_count)]->clients_port());
+        clients.emplace_back(run_client, it,
+                             fronts[static_cast<std::size_t>(it % instance_count)]->clients_port());
     }
     sleep_ms(run_s * 1000);
     clients_stop = true;
@@ -164,8 +162,8 @@
             record->line("TWICE: %s was run by %s and %s", id.c_str(), it.runs[0].c_str(),
                          it.runs[1].c_str());
         }
-        const bool promised = it.status == 429 || it.status == 503 || it.status == 408 ||
-                              it.status == 421;
+        const bool promised =
+            it.status == 429 || it.status == 503 || it.status == 408 || it.status == 421;
         if (promised && !it.runs.empty()) {
             ++refused_and_run;
             record->line("REFUSED: %s was answered %d and was run by %s", id.c_str(), it.status,
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -59,10 +59,10 @@
             sent_request it;
             it.id = "c" + std::to_string(number) + "-" + std::to_string(++count);
             const std::string body = "book " + it.id;
-            const auto bytes = "POST /loans/2f HTTP/1.1\r\nHost: registry.example\r\nRequest-Id: " +
-                               it.id + "\r\nDeadline-Ms: " + std::to_string(client_deadline_ms) +
-                               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-                               body;
+            const auto bytes =
+                "POST /loans/2f HTTP/1.1\r\nHost: registry.example\r\nRequest-Id: " + it.id +
+                "\r\nDeadline-Ms: " + std::to_string(client_deadline_ms) +
+                "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
             it.sent = record->ms();
             record->line("client sends %s", it.id.c_str());
             if (!send_all(connection.fd, bytes)) {
@@ -104,8 +104,8 @@
                  R"("services":[{"name":"ledger","healthPath":"/health","maxConns":105}],)"
                  R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
                  R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
-    front instance{given.root,         given.folder,       "front-howrah-sheds-1",
-                   "howrah-sheds",     platform.address(), small_deployment()};
+    front instance{given.root,     given.folder,       "front-howrah-sheds-1",
+                   "howrah-sheds", platform.address(), small_deployment()};
     instance.start();
     instance.await_ready();
     std::vector<std::thread> clients;
@@ -125,8 +125,8 @@
         record->line("%s: the settings file has changed, SIGHUP", instance.name().c_str());
         instance.running().signal(SIGHUP);
     }
-    const bool ended = instance.running().await_end(
-        static_cast<std::int64_t>(term_at + grace_ms - record->ms()));
+    const bool ended =
+        instance.running().await_end(static_cast<std::int64_t>(term_at + grace_ms - record->ms()));
     const double ended_at = record->ms();
     const auto state = instance.running().state();
     record->line("%s: %s, %.0f ms after SIGTERM", instance.name().c_str(), state.c_str(),
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -82,10 +82,10 @@
 }
 
 boost::json::object route(const std::string& name, const std::string& prefix) {
-    return {{"name", name},        {"hostname", "registry.example"},
+    return {{"name", name},         {"hostname", "registry.example"},
             {"pathPrefix", prefix}, {"type", "safe"},
-            {"timeoutMs", 4000},   {"targetLatencyMs", 600},
-            {"priority", 2},       {"maxAttempts", 2}};
+            {"timeoutMs", 4000},    {"targetLatencyMs", 600},
+            {"priority", 2},        {"maxAttempts", 2}};
 }
 
 std::string configuration(int version, const std::string& service) {
@@ -110,14 +110,14 @@
         idle["minCoverage"] = 0.89;
         routes.push_back(idle);
     }
-    return boost::json::serialize(boost::json::object{
-        {"version", version},
-        {"routes", routes},
-        {"services", services},
-        {"limits", boost::json::object{{"maxHeaderBytes", 16384},
-                                       {"maxBodyBytes", 262144},
-                                       {"headerTimeoutMs", 3000},
-                                       {"idleTimeoutMs", 15000 + version}}}});
+    return boost::json::serialize(
+        boost::json::object{{"version", version},
+                            {"routes", routes},
+                            {"services", services},
+                            {"limits", boost::json::object{{"maxHeaderBytes", 16384},
+                                                           {"maxBodyBytes", 262144},
+                                                           {"headerTimeoutMs", 3000},
+                                                           {"idleTimeoutMs", 15000 + version}}}});
 }
 
 }  // namespace
@@ -128,8 +128,8 @@
     std::vector<std::unique_ptr<leaf>> leafs;
     for (int it = 0; it < 6; ++it) {
         const std::string service = it < 3 ? "old-ledger" : "new-ledger";
-        leafs.push_back(std::make_unique<leaf>("i-" + service + std::to_string(it), service,
-                                               run_request));
+        leafs.push_back(
+            std::make_unique<leaf>("i-" + service + std::to_string(it), service, run_request));
         platform.put("servers/" + leafs.back()->id(), leafs.back()->entry(6, "howrah-sheds"));
     }
     const auto first = configuration(first_version, "old-ledger");
@@ -187,22 +187,25 @@
         if (sent > moved_at + config_apply_ms && it.service == "old-ledger") {
             ++old_runs;
             last_old_ms = std::max(last_old_ms, sent - moved_at);
-            record->line("CONFIG: %s, sent %.0f ms after the acknowledgement of version %d, is run "
-                         "by %s",
-                         it.id.c_str(), sent - moved_at, moving_version, it.leaf.c_str());
+            record->line(
+                "CONFIG: %s, sent %.0f ms after the acknowledgement of version %d, is run "
+                "by %s",
+                it.id.c_str(), sent - moved_at, moving_version, it.leaf.c_str());
         }
         if (it.at > draining_at + drain_ms && it.leaf == drained->id()) {
             ++late_at_drained;
         }
     }
-    record->line("runs %zu, successes %d, run by the old service too late %d, reached the draining "
-                 "leaf too late %d",
-                 runs.size(), success_count.load(), old_runs, late_at_drained);
+    record->line(
+        "runs %zu, successes %d, run by the old service too late %d, reached the draining "
+        "leaf too late %d",
+        runs.size(), success_count.load(), old_runs, late_at_drained);
     record->line("last request that was run by the old service: %.0f ms after the acknowledgement",
                  last_old_ms);
-    std::printf("runs %zu, successes %d, run by the old service too late %d, reached the draining "
-                "leaf too late %d\n",
-                runs.size(), success_count.load(), old_runs, late_at_drained);
+    std::printf(
+        "runs %zu, successes %d, run by the old service too late %d, reached the draining "
+        "leaf too late %d\n",
+        runs.size(), success_count.load(), old_runs, late_at_drained);
     if (success_count < 500) {
         cannot_run("too few requests were served");
     }
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -5,6 +5,7 @@
 // connection.
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -13,6 +14,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/json.hpp>
 #include <cerrno>
@@ -25,7 +27,6 @@
 #include <cstdlib>
 #include <cstring>
 #include <deque>
-#include <fcntl.h>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -48,7 +49,9 @@
 constexpr int exit_broken = 1;
 constexpr int exit_not_run = 2;
 
-inline void sleep_ms(std::int64_t ms) { std::this_thread::sleep_for(milliseconds{ms}); }
+inline void sleep_ms(std::int64_t ms) {
+    std::this_thread::sleep_for(milliseconds{ms});
+}
 
 // Record of what was sent, answered and run; times are ms since the start of the record.
 
@@ -113,7 +116,9 @@
     return address;
 }
 
-inline std::string address_of(int port) { return "127.0.0.1:" + std::to_string(port); }
+inline std::string address_of(int port) {
+    return "127.0.0.1:" + std::to_string(port);
+}
 
 /// A port that is free now, below those that the system gives to outgoing connections.
 inline int free_port() {
@@ -417,7 +422,8 @@
         std::string plain;
         for (std::size_t it = 0; it < text.size(); ++it) {
             if (text[it] == '%' && it + 2 < text.size()) {
-                plain += static_cast<char>(std::strtol(text.substr(it + 1, 2).c_str(), nullptr, 16));
+                plain +=
+                    static_cast<char>(std::strtol(text.substr(it + 1, 2).c_str(), nullptr, 16));
                 it += 2;
             } else {
                 plain += text[it];
@@ -501,9 +507,9 @@
             }
             items.push_back(to_json(key, it));
         }
-        return {200, boost::json::serialize(boost::json::object{{"items", std::move(items)},
-                                                                {"hasMore", more},
-                                                                {"storeRevision", revision_}})};
+        return {200,
+                boost::json::serialize(boost::json::object{
+                    {"items", std::move(items)}, {"hasMore", more}, {"storeRevision", revision_}})};
     }
 
     std::pair<int, std::string> watch(std::map<std::string, std::string>& query,
