--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,5 +1,7 @@
-// A part of the requests at the leafs of two shards is refused with Retry-After, as busy leafs do.
-// Checks that the instances stay up and answer the requests that they pass on.
+// The leafs of two shards are slow and refuse a part of the requests with Retry-After, as busy
+// leafs do. Checks that the instances stay up and answer the requests that they pass on.
+
+#include <semaphore>
 
 #include "harness.h"
 
@@ -13,20 +15,36 @@
 constexpr int large_instances = 2;
 constexpr int instance_count = small_instances + large_instances;
 constexpr int clients_per_instance = 6;
+/// From an answer to the next request of a client.
+constexpr int think_ms = 10;
 constexpr int client_deadline_ms = 800;
-constexpr int work_ms = 20;
+/// The work of the kind fair-release.
+constexpr int work_ms = 7;
 /// The leafs of these shards are busy at times: 10% of the leafs.
 constexpr int busy_shards = 2;
-/// The part of the requests that a busy leaf refuses, after it has kept them in its queue.
+/// The part of the requests that a busy leaf refuses at once.
 constexpr double refused_fraction = 0.45;
-constexpr int queue_ms = 100;
+/// How many times as long a request takes at a busy leaf.
+constexpr double slow_factor = 8.5;
+/// What a leaf runs at the same time, and how many more requests it queues before it is full.
+constexpr int slots = 2;
+constexpr int queue_length = 12;
+/// Each leaf pauses for this long, at its own time.
+constexpr int pause_ms = 200;
+constexpr int pause_every_ms = 4500;
 constexpr const char* retry_after = "0.3";
 constexpr int busy_ms = 6500;
 constexpr int calm_ms = 4500;
-constexpr int rounds = 6;
+constexpr int rounds = 3;
 constexpr int restart_delay_ms = 300;
 
 std::mutex mutex;
+/// The requests that each leaf runs or has queued, and the free slots.
+struct leaf_load {
+    std::atomic<int> taken = 0;
+    int phase_ms = static_cast<int>(std::random_device{}() % pause_every_ms);
+    std::counting_semaphore<slots> free_slots{slots};
+};
 /// Requests that a leaf other than the busy ones has run.
 std::set<std::string> run_by_sound_leaf;
 struct cut_request {
@@ -40,22 +58,37 @@
 std::atomic<bool> clients_stop = false;
 std::atomic<bool> busy = false;
 
+std::string refusal(const std::string& id, const std::string& more_fields) {
+    return "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\n" +
+           more_fields + "Content-Length: 0\r\n\r\n";
+}
+
 leaf::handler gather_handler(bool busy_at_times) {
-    return [busy_at_times](leaf& self, const http_message& request, int fd) {
+    const auto load = std::make_shared<leaf_load>();
+    return [busy_at_times, load](leaf& self, const http_message& request, int fd) {
         thread_local std::mt19937 random{std::random_device{}()};
         std::uniform_real_distribution<double> unit{0, 1};
         const auto id = request.field("request-id");
         if (busy_at_times && busy && unit(random) < refused_fraction) {
-            sleep_ms(queue_ms);
-            return send_all(fd, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id +
-                                    "\r\nNot-Executed: 1\r\nRetry-After: " + retry_after +
-                                    "\r\nContent-Length: 0\r\n\r\n");
+            return send_all(fd, refusal(id, std::string{"Retry-After: "} + retry_after + "\r\n"));
+        }
+        if (++load->taken > slots + queue_length) {
+            --load->taken;
+            return send_all(fd, refusal(id, ""));
+        }
+        load->free_slots.acquire();
+        const auto in_period = (static_cast<int>(record->ms()) + load->phase_ms) % pause_every_ms;
+        if (in_period < pause_ms) {
+            sleep_ms(pause_ms - in_period);
         }
         if (!busy_at_times) {
             const std::lock_guard lock{mutex};
             run_by_sound_leaf.insert(id);
         }
-        sleep_ms(static_cast<std::int64_t>(work_ms * (0.5 + unit(random))));
+        sleep_ms(static_cast<std::int64_t>(work_ms * (0.5 + unit(random)) *
+                                           (busy_at_times && busy ? slow_factor : 1)));
+        load->free_slots.release();
+        --load->taken;
         return send_all(fd, response(id, self.service() + "." + self.id() + "." + id,
                                      std::string(16 * 20, 'r')));
     };
@@ -98,6 +131,7 @@
                 break;
             }
             kept = true;
+            sleep_ms(think_ms);
         }
     }
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -19,6 +19,8 @@
 constexpr int client_count = 8;
 constexpr int client_deadline_ms = 800;
 constexpr int small_instances = 8;
+/// Instances that are killed, one after the other, in the 8 s for which leafs may be slow.
+constexpr int killed_instances = 3;
 constexpr int large_instances = 2;
 constexpr int restart_delay_ms = 300;
 
@@ -204,7 +206,7 @@
     sleep_ms(2000);
 
     std::mt19937 random{std::random_device{}()};
-    for (int round = 0; round < small_instances; ++round) {
+    for (int round = 0; round < killed_instances; ++round) {
         auto& instance = *fronts[static_cast<std::size_t>(round)];
         clients_stop = false;
         std::vector<std::thread> clients;
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -17,10 +17,15 @@
 constexpr double garble_fraction = 0.03;
 constexpr int late_ms = 5;
 constexpr int clients_per_instance = 10;
-constexpr int run_s = 95;
+constexpr int run_s = 100;
+/// The refusals and the second answers come again and again, for as long as the pages say.
+constexpr int shed_ms = 6500;
+constexpr int garble_ms = 5000;
+constexpr int pause_ms = 500;
 constexpr int client_deadline_ms = 4000;
 
 std::atomic<bool> second_answers = false;
+std::atomic<bool> shedding = false;
 std::atomic<bool> clients_stop = false;
 std::atomic<int> copies = 0;
 
@@ -37,7 +42,7 @@
     std::uniform_real_distribution<double> unit{0, 1};
     const auto id = request.field("request-id");
     std::string answer;
-    if (number < shedding_leafs && unit(random) < shed_fraction) {
+    if (shedding && number < shedding_leafs && unit(random) < shed_fraction) {
         answer = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id +
                  "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
         record->line("leaf %s refuses %s", self.id().c_str(), id.c_str());
@@ -137,13 +142,21 @@
     for (auto& it : fronts) {
         it->await_ready();
     }
-    second_answers = given.trouble;
     std::vector<std::thread> clients;
     for (int it = 0; it < instance_count * clients_per_instance; ++it) {
         clients.emplace_back(run_client, it,
                              fronts[static_cast<std::size_t>(it % instance_count)]->clients_port());
     }
-    sleep_ms(run_s * 1000);
+    const auto end = steady::now() + std::chrono::seconds{run_s};
+    while (steady::now() < end) {
+        shedding = true;
+        second_answers = given.trouble;
+        sleep_ms(garble_ms);
+        second_answers = false;
+        sleep_ms(shed_ms - garble_ms);
+        shedding = false;
+        sleep_ms(pause_ms);
+    }
     clients_stop = true;
     for (auto& it : clients) {
         it.join();
