Receive signals until the last module has stopped

Cause: the signal sets were destroyed when the first SIGTERM had been served, which restores the default action of their signals, while the modules still needed up to 5.65 s to stop.

Change: the signal loop is created before the first module starts and destroyed after the last one has stopped, so that no signal meets the default action in between.

--- a/packages/daemon/main/poplarfrontd.cpp
+++ b/packages/daemon/main/poplarfrontd.cpp
@@ -158,48 +158,47 @@
     file_state read_;
 };
 
-/// Serves the signals of the process until one asks it to stop.
+/// Receives the signals of the process for as long as it exists, so that none of them ends the
+/// process, and serves them in `run`. Signals that arrive before are served then; signals that
+/// arrive after it have no effect.
+///
+/// Thread safety: used on the main thread only.
 class signal_loop {
 public:
-    signal_loop(const kernel::state_registry& state, runtime::fiber_thread& control,
-                settings_reloader& reloader)
-        : state_(state), control_(control), reloader_(reloader) {}
-
-    void run() {
+    /// Serves signals until one asks the process to stop. The arguments outlive the call.
+    void run(const kernel::state_registry& state, runtime::fiber_thread& control,
+             settings_reloader& reloader) {
         stop_.async_wait([this](const boost::system::error_code&, int) { context_.stop(); });
-        wait_for_dump();
-        wait_for_reload();
-        check_file_later();
+        wait_for_dump(state, control);
+        wait_for_reload(reloader);
+        check_file_later(reloader);
         context_.run();
     }
 
 private:
-    void wait_for_dump() {
-        dump_.async_wait([this](const boost::system::error_code&, int) {
-            control_.run([this] { spdlog::info("state {}", state_.dump()); });
-            wait_for_dump();
+    void wait_for_dump(const kernel::state_registry& state, runtime::fiber_thread& control) {
+        dump_.async_wait([this, &state, &control](const boost::system::error_code&, int) {
+            control.run([&] { spdlog::info("state {}", state.dump()); });
+            wait_for_dump(state, control);
         });
     }
 
-    void wait_for_reload() {
-        reload_.async_wait([this](const boost::system::error_code&, int) {
-            reloader_.reload(true);
-            wait_for_reload();
+    void wait_for_reload(settings_reloader& reloader) {
+        reload_.async_wait([this, &reloader](const boost::system::error_code&, int) {
+            reloader.reload(true);
+            wait_for_reload(reloader);
         });
     }
 
-    void check_file_later() {
+    void check_file_later(settings_reloader& reloader) {
         constexpr auto interval = std::chrono::seconds{2};
         file_timer_.expires_after(interval);
-        file_timer_.async_wait([this](const boost::system::error_code&) {
-            reloader_.reload(false);
-            check_file_later();
+        file_timer_.async_wait([this, &reloader](const boost::system::error_code&) {
+            reloader.reload(false);
+            check_file_later(reloader);
         });
     }
 
-    const kernel::state_registry& state_;
-    runtime::fiber_thread& control_;
-    settings_reloader& reloader_;
     boost::asio::io_context context_;
     boost::asio::signal_set stop_{context_, SIGTERM, SIGINT};
     boost::asio::signal_set dump_{context_, SIGUSR1};
@@ -218,14 +217,16 @@
     spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l instance=" + name + " %v");
     spdlog::set_level(spdlog::level::from_str(settings.text("log", "level")));
     kernel::module_context context{settings};
+    // Created before the first module starts and destroyed after the last one has stopped: a signal
+    // without a handler would end the process together with the requests under way.
+    signal_loop signals;
     BOOST_LEAF_AUTO(running, kernel::lifecycle::start(context));
     spdlog::info("event=start outcome=started version={} profile={}", POPLARFRONT_VERSION,
                  settings.text("process", "profile"));
     settings_reloader reloader{parsed.config_file, std::move(settings),
                                context.require<kernel::reload_handlers>()};
-    signal_loop{*context.require<kernel::state_registry>(),
-                *context.require<runtime::thread_set>()->control, reloader}
-        .run();
+    signals.run(*context.require<kernel::state_registry>(),
+                *context.require<runtime::thread_set>()->control, reloader);
     spdlog::info("event=stop outcome=begun");
     running.stop();
     spdlog::info("event=stop outcome=done");
