Number delegated gathers from a random value in each process

Cause: gathers were numbered from 0 in each process and reports are matched by that number alone, so a delegate's report on a gather of the old process answered a gather of the new one.

Change: the first number is random, below 2^63, so that the numbers of two processes do not meet. The message format stays as it is.

--- a/packages/gateway/delegated_gather.h
+++ b/packages/gateway/delegated_gather.h
@@ -11,7 +11,8 @@
 
 /// A gather that an instance delegates to another one, its delegate.
 struct delegated_gather {
-    /// Unique among the delegated gathers of the sender's process.
+    /// Unique among the delegated gathers of all processes that have used the same `reply_to`,
+    /// since a delegate may still report on a gather of a process that has ended.
     std::uint64_t number = 0;
     /// IP:PORT of the sender, for the reports.
     std::string reply_to;
--- a/packages/proxy/delegated_gather_table.h
+++ b/packages/proxy/delegated_gather_table.h
@@ -20,14 +20,15 @@
 public:
     using report_handler = std::function<void(const gateway::gather_report&)>;
 
-    /// `reply_to`: IP:PORT at which this instance receives reports. Gathers are numbered
-    /// `thread_index`, `thread_index + thread_count` and so on, so that the number in a report
-    /// identifies the thread.
+    /// `reply_to`: IP:PORT at which this instance receives reports. Gathers are numbered from a
+    /// random multiple of `thread_count` plus `thread_index` on, in steps of `thread_count`, so
+    /// that the number in a report identifies the thread, and differs from all numbers of earlier
+    /// processes at the same address.
     delegated_gather_table(std::shared_ptr<daemon::peer_link> link, std::string reply_to,
                            std::uint64_t thread_index, std::uint64_t thread_count)
         : link_(std::move(link)),
           reply_to_(std::move(reply_to)),
-          next_number_(thread_index),
+          next_number_(random_multiple_of(thread_count) + thread_index),
           number_step_(thread_count) {}
 
     /// Sends a warm-up message, which opens connections both ways, to each of these addresses that
@@ -53,6 +54,8 @@
     void on_report(const gateway::gather_report& report);
 
 private:
+    static std::uint64_t random_multiple_of(std::uint64_t n);
+
     std::uint64_t next_number() { return std::exchange(next_number_, next_number_ + number_step_); }
 
     std::shared_ptr<daemon::peer_link> link_;
--- a/packages/proxy/internal/delegated_gather_table.cpp
+++ b/packages/proxy/internal/delegated_gather_table.cpp
@@ -1,9 +1,20 @@
 #include "proxy/delegated_gather_table.h"
 
+#include <limits>
+#include <random>
+
 #include "wire/gather_codec.h"
 
 namespace poplarfront::proxy {
 
+std::uint64_t delegated_gather_table::random_multiple_of(std::uint64_t n) {
+    // Leaves room for the numbers that follow.
+    constexpr auto max_first_number = std::numeric_limits<std::uint64_t>::max() / 2;
+    std::random_device source;
+    std::uniform_int_distribution<std::uint64_t> factor{0, max_first_number / n};
+    return factor(source) * n;
+}
+
 void delegated_gather_table::warm_up_connections(const std::set<std::string>& addresses) {
     for (const auto& it : addresses) {
         if (!warmed_up_.contains(it)) {
