Send no second attempt of a request on the same connection

Cause: a refused request was sent again on the connection of its refusal. All attempts share the Request-Id, so a late second copy of the refusal was taken for the reply to the new attempt. Evidence: in the new test a third call arrives while the backend server works on the second.

Change: the pool passes over idle connections that have carried an earlier attempt of the request.

Result: "a late second copy of a refusal does not end the next attempt" failed before (3 calls in place of 2) and passes now.

--- a/packages/proxy/backend_pool.h
+++ b/packages/proxy/backend_pool.h
@@ -63,9 +63,13 @@
           deadline_check_timer_(context),
           idle_check_timer_(context) {}
 
-    /// Starts a call; its result arrives later through `call.on_result`.
-    call_handle start(const gateway::backend_entry& backend, backend_call call) {
-        if (auto idle = take_idle_connection(backend.id)) {
+    /// Starts a call; its result arrives later through `call.on_result`. `earlier_attempts`: the
+    /// earlier calls of the same request. Their connections are not used again for it: a second
+    /// copy of their reply, which has the same request id, would be taken for the reply to this
+    /// call.
+    call_handle start(const gateway::backend_entry& backend, backend_call call,
+                      const std::vector<call_handle>& earlier_attempts = {}) {
+        if (auto idle = take_idle_connection(backend.id, earlier_attempts)) {
             ++counters_.reused;
             idle->call = std::move(call);
             busy_.insert(idle);
@@ -155,15 +159,21 @@
 
     static kernel::time_point now() { return kernel::time_point::clock::now(); }
 
-    connection_ptr take_idle_connection(const model::server_id& server) {
-        const auto it = idle_.find(server);
-        if (it == idle_.end()) {
+    /// The usable connection to `server` that was used last, except those of `excluded`.
+    connection_ptr take_idle_connection(const model::server_id& server,
+                                        const std::vector<call_handle>& excluded) {
+        const auto found = idle_.find(server);
+        if (found == idle_.end()) {
             return nullptr;
         }
-        auto& connections = it->second;
-        while (!connections.empty()) {
-            auto last = std::move(connections.back());
-            connections.pop_back();
+        auto& connections = found->second;
+        for (auto n = connections.size(); n > 0; --n) {
+            const auto it = connections.begin() + static_cast<std::ptrdiff_t>(n - 1);
+            if (contains(excluded, *it)) {
+                continue;
+            }
+            auto last = std::move(*it);
+            connections.erase(it);
             if (now() < last->usable_until && has_no_pending_input(*last)) {
                 return last;
             }
@@ -172,6 +182,13 @@
         return nullptr;
     }
 
+    static bool contains(const std::vector<call_handle>& handles,
+                         const connection_ptr& connection) {
+        return std::any_of(handles.begin(), handles.end(), [&](const auto& it) {
+            return !it.owner_before(connection) && !connection.owner_before(it);
+        });
+    }
+
     /// Whether an idle connection is still open and has no unread input, which would belong to no
     /// request.
     static bool has_no_pending_input(backend_connection& idle) {
--- a/packages/proxy/backend_session_transport.h
+++ b/packages/proxy/backend_session_transport.h
@@ -47,7 +47,7 @@
         call.without_reply_body = forwarded_.without_reply_body;
         call.deadline = deadline;
         call.on_result = make_result_handler_(attempt);
-        calls_.push_back(pool_.start(backend, std::move(call)));
+        calls_.push_back(pool_.start(backend, std::move(call), calls_));
     }
 
     using probe_handler_factory =
