Accept changes of another instance only if they follow the known revision

Callers would see a backend server or route in use again that had been removed: an instance that restarts and learns an older state from one instance takes a late reply to its earlier process, which holds only the changes after a later revision, and misses the deletions in between.

Change: FleetReply states the revision after which its changes are complete, and the log accepts only an update that leaves no gap. Replies of older instances lack the field and are accepted as before.

Result: "changes since a later revision than the known one are not accepted" failed before and passes now.

--- a/packages/gateway/internal/store_change_log.cpp
+++ b/packages/gateway/internal/store_change_log.cpp
@@ -39,6 +39,7 @@
     store_update update;
     update.revision = revision_;
     update.complete = after < deletions_incomplete_until_ || after == 0;
+    update.after = update.complete ? 0 : after;
     for (const auto& [key, change] : existing_) {
         if (update.complete || change.revision > after) {
             update.changes.push_back(change);
--- a/packages/gateway/store_change_log.h
+++ b/packages/gateway/store_change_log.h
@@ -17,11 +17,12 @@
     /// older than the kept deletions gets all keys instead of the changes.
     explicit store_change_log(std::size_t max_deletions = 1000) : max_deletions_(max_deletions) {}
 
-    /// Whether an update of another instance may be added: to an empty log only one with all keys.
-    /// A reply to the request of an earlier process of this instance, which knew the keys before,
-    /// may arrive after a restart.
+    /// Whether an update of another instance may be added: it is newer, and no change between the
+    /// known revision and those of the update is missing. A reply to the request of an earlier
+    /// process of this instance, which knew a later revision, may arrive after a restart.
     [[nodiscard]] bool accepts(const store_update& update) const {
-        return update.revision > revision_ && (update.complete || revision_ > 0);
+        const bool continues = revision_ > 0 && update.after <= revision_;
+        return update.revision > revision_ && (update.complete || continues);
     }
 
     /// Adds the changes of an update. Changes of an existing key that are older than the known one
--- a/packages/gateway/store_update.h
+++ b/packages/gateway/store_update.h
@@ -25,6 +25,8 @@
     /// Whether `changes` holds all existing keys instead of the changes since a revision.
     bool complete = false;
     std::vector<store_change> changes;
+    /// Only if not complete: `changes` holds all changes after this revision.
+    std::uint64_t after = 0;
     friend auto operator<=>(const store_update&, const store_update&) = default;
 };
 
--- a/packages/gateway/tests/store_change_log_test.cpp
+++ b/packages/gateway/tests/store_change_log_test.cpp
@@ -62,5 +62,22 @@
     CHECK(log.accepts(changes));
 }
 
+// Guards against an instance that restarts, learns an older state from one instance, and then takes
+// the changes since a later revision that only its earlier process knew: a key that was deleted in
+// between would be in use again.
+TEST_CASE("changes since a later revision than the known one are not accepted") {
+    store_change_log peer;
+    peer.add({5, true, {{"a", "1", 3, false}, {"b", "1", 4, false}}});
+    store_change_log restarted;
+    restarted.add(peer.since(0));
+    peer.add({8, false, {{"a", "", 7, true}}});
+    peer.add({9, false, {{"c", "1", 9, false}}});
+    CHECK_FALSE(restarted.accepts(peer.since(8)));
+    const auto update = peer.since(restarted.revision());
+    REQUIRE(restarted.accepts(update));
+    restarted.add(update);
+    CHECK(restarted.existing() == peer.existing());
+}
+
 }  // namespace
 }  // namespace poplarfront::gateway
--- a/packages/wire/internal/fleet_codec.cpp
+++ b/packages/wire/internal/fleet_codec.cpp
@@ -21,6 +21,7 @@
     proto::FleetReply message;
     message.set_revision(update.revision);
     message.set_complete(update.complete);
+    message.set_after(update.after);
     for (const auto& change : update.changes) {
         auto& out_change = *message.add_changes();
         out_change.set_key(change.key);
@@ -36,6 +37,7 @@
     gateway::store_update update;
     update.revision = message.revision();
     update.complete = message.complete();
+    update.after = message.after();
     for (const auto& change : message.changes()) {
         update.changes.push_back(
             {change.key(), change.value(), change.revision(), change.deleted()});
--- a/packages/wire/tests/fleet_codec_test.cpp
+++ b/packages/wire/tests/fleet_codec_test.cpp
@@ -11,6 +11,8 @@
     const auto decoded = decode_fleet_reply(encode_fleet_reply(update));
     REQUIRE(decoded);
     CHECK(decoded.value() == update);
+    const gateway::store_update changes{9, false, {{"a", "", 8, true}}, 6};
+    CHECK(decode_fleet_reply(encode_fleet_reply(changes)).value() == changes);
     const fleet_request request{9, "127.0.0.1:5"};
     CHECK(decode_fleet_request(encode_fleet_request(request)).value() == request);
 }
