Keep a session alive while it is woken or told of a trial

Cause: a delegated gather that waited for a connection without an attempt in flight was destroyed by its own answer while it was being called from the wait list. The decision on a trial had the same fault.

Change: both calls go through the transport, which holds the owner of the session and sets its timer again. The timer was not set after such calls, so that hedges of requests that had waited were late.

--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -5,6 +5,7 @@
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -31,7 +32,7 @@
 template <class T>
 concept session_transport = requires(T& transport, attempt_number attempt,
                                      const backend_entry& backend, kernel::time_point deadline,
-                                     gateway_answer answer) {
+                                     gateway_answer answer, const std::function<void()>& call) {
     // Sends the request to a backend server, which stops working on it at `deadline`. The result
     // arrives through request_session::on_result after the call has returned.
     { transport.send(attempt, backend, deadline) } -> std::same_as<void>;
@@ -42,6 +43,9 @@
     { transport.cancel(attempt) } -> std::same_as<void>;
     // Answers the client. Called at most once.
     { transport.answer(std::move(answer)) } -> std::same_as<void>;
+    // Runs a call of the session that does not come from its owner. The session outlives the call,
+    // even if the owner releases it when it is answered, and its timer is set again afterwards.
+    { transport.call_session(call) } -> std::same_as<void>;
 };
 
 /// Makes the decisions for one request: which backend servers it is sent to, when it is hedged or
@@ -262,10 +266,10 @@
     void claim_trial(kernel::time_point now) {
         trial_ = trial_state::claimed;
         wait_deadline_ = now + state_.quarantine().options().trial_claim_timeout;
-        state_.quarantine().claim_trial(request_.fingerprint,
-                                        [this](bool granted, kernel::time_point decided_at) {
-                                            on_trial_decision(granted, decided_at);
-                                        });
+        state_.quarantine().claim_trial(
+            request_.fingerprint, [this](bool granted, kernel::time_point decided_at) {
+                transport_.call_session([&] { on_trial_decision(granted, decided_at); });
+            });
     }
 
     /// Sends the request to one backend server if the trial is granted, and refuses it otherwise.
@@ -662,8 +666,9 @@
             wait_deadline_ = request_.received + route_.objective / objective_divisor;
         }
         part.wait_list_entry = state_.waiting().add(
-            part.service, route_.priority,
-            [this, index](kernel::time_point woken_at) { on_connection_free(index, woken_at); });
+            part.service, route_.priority, [this, index](kernel::time_point woken_at) {
+                transport_.call_session([&] { on_connection_free(index, woken_at); });
+            });
     }
 
     /// Whether a request that starts to wait now would probably be answered after the final
--- a/packages/gateway/tests/fixture.h
+++ b/packages/gateway/tests/fixture.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -30,13 +31,26 @@
         probes.push_back(attempt);
     }
     void cancel(attempt_number attempt) { cancelled.push_back(attempt); }
-    void answer(gateway_answer given) { answers.push_back(std::move(given)); }
+    void answer(gateway_answer given) {
+        answers.push_back(std::move(given));
+        if (on_answer) {
+            on_answer();
+        }
+    }
+    void call_session(const std::function<void()>& call) {
+        const auto kept_alive = owner.lock();
+        call();
+    }
 
     std::vector<sent_request> sent;
     /// Probes without a result.
     std::vector<attempt_number> probes;
     std::vector<attempt_number> cancelled;
     std::vector<gateway_answer> answers;
+    /// Called after each answer.
+    std::function<void()> on_answer;
+    /// The owner of the session, if the test releases the session in `on_answer`.
+    std::weak_ptr<const void> owner;
 };
 
 using session = request_session<fake_transport>;
--- a/packages/proxy/backend_session_transport.h
+++ b/packages/proxy/backend_session_transport.h
@@ -61,6 +61,17 @@
         pool_.probe(backend, make_probe_handler_(attempt));
     }
 
+    /// Runs a call of the session while its owner is kept alive.
+    using session_caller = std::function<void(const std::function<void()>& call)>;
+    /// Precondition: called before the session is started.
+    void set_session_caller(session_caller caller) { session_caller_ = std::move(caller); }
+
+    void call_session(const std::function<void()>& call) {
+        // A copy, since the call may release the owner of this transport.
+        const auto caller = session_caller_;
+        caller(call);
+    }
+
     void cancel(gateway::attempt_number attempt) { pool_.cancel(calls_.at(attempt)); }
 
     void answer(gateway::gateway_answer answer) {
@@ -82,6 +93,7 @@
     answer_handler on_answer_;
     result_handler_factory make_result_handler_;
     probe_handler_factory make_probe_handler_;
+    session_caller session_caller_;
     std::vector<typename backend_pool<Protocol>::call_handle> calls_;
 };
 
--- a/packages/proxy/proxied_request.h
+++ b/packages/proxy/proxied_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -129,6 +130,13 @@
                     self->arm_timer();
                 };
             });
+        created->session_transport_.set_session_caller(
+            [weak = created->weak_from_this()](const std::function<void()>& call) {
+                if (const auto self = weak.lock()) {
+                    call();
+                    self->arm_timer();
+                }
+            });
         return created;
     }
 
