Limit the memory of all replies that are being received together

Cause: each reply was limited to 4 MiB for itself and nothing limited their sum, and parts of gathers were kept whole until the gather was answered.

Change: incomplete replies may use an eighth of [gateway] memory_mb together; above it the largest one is given up, so that replies of ordinary size go on.

--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -774,6 +774,7 @@
             part.state = part_state::answered;
             part.overdue_at.reset();
             part.reply = std::move(result.reply);
+            drop_surplus_records(*part.reply);
             ++summary_.covered;
             return;
         }
@@ -816,6 +817,19 @@
         }
     }
 
+    /// Keeps only those records of a large part that the answer can contain, since parts are kept
+    /// until the gather is answered.
+    void drop_surplus_records(backend_reply& reply) const {
+        constexpr std::size_t large_part_bytes = std::size_t{16} * 1024;
+        const auto* gather = plan();
+        if (gather == nullptr || reply.body.size() <= large_part_bytes ||
+            reply.body.size() / record_bytes <= gather->top_k) {
+            return;
+        }
+        reply.body = top_records({reply.body}, gather->top_k);
+        reply.body.shrink_to_fit();
+    }
+
     /// Whether a reply settles its part without another attempt. A server error of a backend server
     /// is forwarded only if no other attempt is possible.
     [[nodiscard]] bool is_final(const backend_reply& reply) const {
--- a/packages/proxy/backend_pool.h
+++ b/packages/proxy/backend_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <spdlog/spdlog.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -17,28 +18,13 @@
 #include <vector>
 
 #include "gateway/backend_entry.h"
+#include "gateway/incomplete_replies.h"
 #include "proxy/backend_connection.h"
+#include "proxy/backend_pool_options.h"
 #include "runtime/endpoint.h"
 
 namespace poplarfront::proxy {
 
-struct backend_pool_options {
-    kernel::duration connect_timeout = std::chrono::milliseconds{250};
-    /// Time after its deadline at which a call without a reply is ended. A reply that is sent right
-    /// at the deadline still arrives in this time.
-    kernel::duration reply_grace_period = std::chrono::milliseconds{30};
-    /// Idle timeout of a connection if the backend server's `Keep-Alive` field gives none.
-    kernel::duration default_idle_timeout = std::chrono::milliseconds{900};
-    /// Subtracted from the idle timeout that the backend server's `Keep-Alive` field gives.
-    kernel::duration idle_timeout_margin = std::chrono::milliseconds{500};
-    /// Interval at which idle connections are checked for input, which belongs to no request, and
-    /// for the end of their idle timeout.
-    kernel::duration idle_check_interval = std::chrono::milliseconds{500};
-    /// Interval at which calls are checked for expired deadlines.
-    kernel::duration deadline_check_interval = std::chrono::milliseconds{25};
-    std::size_t max_reply_body_bytes = std::size_t{4} * 1024 * 1024;
-};
-
 /// Connections to backend servers and the calls on them. A connection carries one call at a time.
 /// It is reused only after a complete reply that no further bytes follow.
 ///
@@ -61,7 +47,8 @@
         : context_(context),
           options_(options),
           deadline_check_timer_(context),
-          idle_check_timer_(context) {}
+          idle_check_timer_(context),
+          incomplete_replies_(options.max_incomplete_reply_bytes) {}
 
     /// Starts a call; its result arrives later through `call.on_result`. `earlier_attempts`: the
     /// earlier calls of the same request. Their connections are not used again for it: a second
@@ -137,6 +124,7 @@
         deadline_check_timer_.cancel();
         idle_check_timer_.cancel();
         idle_.clear();
+        incomplete_replies_.clear();
         const auto busy = std::exchange(busy_, {});
         for (const auto& it : busy) {
             it->call.reset();
@@ -238,14 +226,21 @@
         constexpr std::size_t initial_buffer_bytes = 2048;
         connection->buffer.reserve(initial_buffer_bytes);
         connection->parser.emplace();
-        connection->parser->body_limit(options_.max_reply_body_bytes);
+        connection->parser->eager(true);
+        connection->parser->body_limit(connection->call->fields == reply_fields::none
+                                           ? options_.max_part_body_bytes
+                                           : options_.max_reply_body_bytes);
         if (connection->call->without_reply_body) {
             connection->parser->skip(true);
         }
         boost::asio::async_write(
             connection->socket, boost::asio::buffer(connection->call->request_bytes),
             [this, connection](const error_code& ec, std::size_t) { connection->written = !ec; });
-        boost::beast::http::async_read(
+        read_some(connection);
+    }
+
+    void read_some(const connection_ptr& connection) {
+        boost::beast::http::async_read_some(
             connection->socket, connection->buffer, *connection->parser,
             [this, connection](const error_code& ec, std::size_t) { on_read(connection, ec); });
     }
@@ -258,9 +253,38 @@
             end_call(connection, {end_of_failed_read(ec), {}});
             return;
         }
+        if (connection->parser->is_done()) {
+            on_reply_received(connection);
+            return;
+        }
+        limit_incomplete_replies(connection);
+        if (connection->call) {
+            read_some(connection);
+        }
+    }
+
+    /// Gives replies up until all incomplete ones are within their limit, after more of one of them
+    /// has been received.
+    void limit_incomplete_replies(const connection_ptr& receiving) {
+        while (receiving->call) {
+            const auto largest =
+                incomplete_replies_.on_received(receiving, receiving->parser->get().body().size());
+            if (!largest) {
+                return;
+            }
+            const auto given_up = *largest;
+            spdlog::warn("event=reply_given_up request={} server={} bytes={} incomplete_bytes={}",
+                         given_up->call->request_id, given_up->server.text(),
+                         given_up->parser->get().body().size(), incomplete_replies_.total_bytes());
+            end_call(given_up, {gateway::attempt_end::malformed, {}});
+        }
+    }
+
+    void on_reply_received(const connection_ptr& connection) {
         const bool reusable = connection->parser->get().keep_alive() && connection->written &&
                               connection->buffer.size() == 0 &&
                               !connection->parser->get().need_eof();
+        incomplete_replies_.remove(connection);
         auto message = connection->parser->release();
         connection->usable_until = now() + idle_timeout(message);
         auto reply = Protocol::decode_backend_reply(
@@ -314,6 +338,7 @@
 
     void close_connection(const connection_ptr& connection) {
         busy_.erase(connection);
+        incomplete_replies_.remove(connection);
         close_socket(*connection);
     }
 
@@ -392,6 +417,7 @@
     backend_pool_options options_;
     boost::asio::steady_timer deadline_check_timer_;
     boost::asio::steady_timer idle_check_timer_;
+    gateway::incomplete_replies<connection_ptr> incomplete_replies_;
     bool check_scheduled_ = false;
     bool idle_check_scheduled_ = false;
     std::map<model::server_id, std::vector<connection_ptr>> idle_;
--- a/packages/proxy/gateway_module.h
+++ b/packages/proxy/gateway_module.h
@@ -47,7 +47,9 @@
         module->ready_address_ = settings.text("gateway", "ready");
         for (const auto& thread : module->threads_->traffic) {
             auto thread_context = std::make_shared<traffic_context<Protocol>>(
-                thread, publisher->view(), session_options_from(settings), std::random_device{}());
+                thread, publisher->view(), session_options_from(settings),
+                backend_pool_options_from(settings, module->threads_->traffic.size()),
+                std::random_device{}());
             auto options = front_server_options_from(settings);
             options.share_address = module->threads_->traffic.size() > 1;
             module->servers_.push_back(
--- a/packages/proxy/internal/gateway_settings.cpp
+++ b/packages/proxy/internal/gateway_settings.cpp
@@ -16,6 +16,8 @@
     constexpr std::int64_t max_connections = 100'000;
     constexpr std::int64_t max_ms = 600'000;
     constexpr std::int64_t max_slack = 1'000'000;
+    constexpr std::int64_t min_memory_mb = 16;
+    constexpr std::int64_t max_memory_mb = 1'000'000;
     return {
         {"gateway", "clients", setting_kind::address, 0, 0, std::nullopt, "IP:PORT for clients"},
         {"gateway", "ready", setting_kind::address, 0, 0, std::nullopt,
@@ -26,6 +28,10 @@
          "time after the beginning of a stop during which new requests are accepted, in ms"},
         {"gateway", "drain_ms", setting_kind::integer, 0, max_ms, "5500",
          "maximum duration of a stop, including stop_delay_ms, in ms"},
+        {"gateway", "memory_mb", setting_kind::integer, min_memory_mb, max_memory_mb, "256",
+         "memory that the process may use, in MB; an eighth of it is for the bodies of replies "
+         "that "
+         "are being received"},
         {"gateway", "answer_margin_ms", setting_kind::integer, 0, max_ms, "10",
          "time before the objective of its route at which an incomplete gather is answered, in ms",
          true},
@@ -60,4 +66,16 @@
     return options;
 }
 
+backend_pool_options backend_pool_options_from(const kernel::settings& settings,
+                                               std::size_t thread_count) {
+    // While a body grows, its buffer may be up to twice as large, and its old content is copied.
+    constexpr std::size_t incomplete_reply_divisor = 8;
+    constexpr std::size_t bytes_per_mb = 1'000'000;
+    const auto memory =
+        static_cast<std::size_t>(settings.integer("gateway", "memory_mb")) * bytes_per_mb;
+    backend_pool_options options;
+    options.max_incomplete_reply_bytes = memory / incomplete_reply_divisor / thread_count;
+    return options;
+}
+
 }  // namespace poplarfront::proxy
--- a/packages/proxy/traffic_context.h
+++ b/packages/proxy/traffic_context.h
@@ -23,11 +23,12 @@
 struct traffic_context {
     traffic_context(std::shared_ptr<runtime::fiber_thread> traffic_thread,
                     std::shared_ptr<const kernel::published<gateway::fleet_view>> published_view,
-                    gateway::session_options options, std::uint64_t seed)
+                    gateway::session_options options, backend_pool_options pool_options,
+                    std::uint64_t seed)
         : thread(std::move(traffic_thread)),
           view(std::move(published_view)),
           state(std::move(options), seed, kernel::time_point::clock::now()),
-          pool(thread->context()) {}
+          pool(thread->context(), pool_options) {}
 
     std::shared_ptr<runtime::fiber_thread> thread;
     std::shared_ptr<const kernel::published<gateway::fleet_view>> view;
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -70,6 +70,19 @@
     return {std::istreambuf_iterator<char>{file}, {}};
 }
 
+std::size_t child_process::peak_memory() const {
+    constexpr std::size_t kilobyte = 1024;
+    const std::string name = "VmHWM:";
+    std::ifstream file{"/proc/" + std::to_string(pid_) + "/status"};
+    std::size_t kilobytes = 0;
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with(name)) {
+            std::istringstream{line.substr(name.size())} >> kilobytes;
+        }
+    }
+    return kilobytes * kilobyte;
+}
+
 std::chrono::milliseconds child_process::cpu_time() const {
     constexpr int fields_before_utime = 11;
     constexpr long ms_per_second = 1000;
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -26,6 +26,8 @@
     /// The exit code, or minus the signal that ended it; nothing if it still runs after `limit`.
     std::optional<int> wait(std::chrono::milliseconds limit);
     [[nodiscard]] std::string output() const;
+    /// The largest resident size so far, in bytes; 0 if the process has ended.
+    [[nodiscard]] std::size_t peak_memory() const;
     /// User and system CPU time so far.
     [[nodiscard]] std::chrono::milliseconds cpu_time() const;
 
