--- a/packages/daemon/internal/backend_caller.cpp
+++ b/packages/daemon/internal/backend_caller.cpp
@@ -25,6 +25,7 @@
         case runtime::call_status::not_sent:
             return attempt_status::not_sent;
         case runtime::call_status::connection_lost:
+        case runtime::call_status::response_too_large:
             return attempt_status::connection_lost;
         case runtime::call_status::answered:
         case runtime::call_status::timed_out:
--- a/packages/runtime/http_types.h
+++ b/packages/runtime/http_types.h
@@ -42,8 +42,10 @@
     /// the client was aborted.
     not_sent,
     /// The connection was lost after part of the request may have been sent, or the response was
-    /// invalid or too large.
+    /// invalid.
     connection_lost,
+    /// The body of the response exceeds max_body_bytes.
+    response_too_large,
     /// The deadline passed after part of the request may have been sent.
     timed_out,
 };
--- a/packages/runtime/internal/http_client.cpp
+++ b/packages/runtime/internal/http_client.cpp
@@ -82,6 +82,9 @@
 }
 
 call_status to_call_status(const beast::error_code& ec) {
+    if (ec == http::error::body_limit) {
+        return call_status::response_too_large;
+    }
     return ec == beast::error::timeout ? call_status::timed_out : call_status::connection_lost;
 }
 
