--- a/packages/proxy/internal/gateway_settings.cpp
+++ b/packages/proxy/internal/gateway_settings.cpp
@@ -28,7 +28,7 @@
          "time after the beginning of a stop during which new requests are accepted, in ms"},
         {"gateway", "drain_ms", setting_kind::integer, 0, max_ms, "5500",
          "maximum duration of a stop, including stop_delay_ms, in ms"},
-        {"gateway", "memory_mb", setting_kind::integer, min_memory_mb, max_memory_mb, "256",
+        {"gateway", "memory_mb", setting_kind::integer, min_memory_mb, max_memory_mb, "112",
          "memory that the process may use, in MB; an eighth of it is for the bodies of replies "
          "that "
          "are being received"},
--- a/packages/proxy/tests/gateway_settings_test.cpp
+++ b/packages/proxy/tests/gateway_settings_test.cpp
@@ -34,5 +34,19 @@
     CHECK_FALSE(parse("drain_ms = 1.5\n"));
 }
 
+// Guards against an instance of the smallest size that runs out of memory, and against traffic
+// threads that each use the share of the whole process.
+TEST_CASE("incomplete replies use an eighth of the memory of a process") {
+    const auto of_all_threads = [](const std::string& lines, std::size_t thread_count) {
+        const auto settings = parse(lines);
+        REQUIRE(settings);
+        return thread_count *
+               backend_pool_options_from(settings.value(), thread_count).max_incomplete_reply_bytes;
+    };
+    CHECK(of_all_threads("", 1) == 14'000'000);
+    CHECK(of_all_threads("memory_mb = 512\n", 4) == 64'000'000);
+    CHECK_FALSE(parse("memory_mb = 0\n"));
+}
+
 }  // namespace
 }  // namespace poplarfront::proxy
