--- a/packages/gateway/tests/incomplete_replies_test.cpp
+++ b/packages/gateway/tests/incomplete_replies_test.cpp
@@ -31,7 +31,7 @@
             }
             REQUIRE(replies.total_bytes() <= max_bytes);
         }
-        CHECK_FALSE(replies.on_received(sound, round * 16));
+        CHECK_FALSE(replies.on_received(sound, static_cast<std::size_t>(round) * 16));
     }
     CHECK(broken_off > 0);
 }
