Exchange gossip with all peers in turn

Callers see searches that wait for the frozen owner of a shard group.

Cause: each exchange went to a random peer, so that all instances of a deployment of 4 may leave one out for several seconds.

Change: the peers take turns in a random order that changes after each round, so that a peer is contacted at least once in nearly two rounds. The number of messages stays the same.

--- a/packages/membership/member_table.h
+++ b/packages/membership/member_table.h
@@ -476,8 +476,8 @@
     void exchange(kernel::time_point now) {
         view_changed_ = rows_.purge(now, options_.max_failed_rows) || view_changed_;
         notices_.expire(now);
-        for (const auto& to : random_rows(rows_.not_failed(), 1, self_.instance)) {
-            send_exchange(to, {});
+        if (const auto to = next_exchange_peer()) {
+            send_exchange(*to, {});
         }
         ++exchanges_;
         if (options_.exchanges_per_reconnect > 0 &&
@@ -488,6 +488,40 @@
         }
     }
 
+    /// The peers take turns in a random order that changes after each round, so that the time until
+    /// a peer is contacted again is bounded. With a random choice each time, all instances of a
+    /// small deployment might leave one out for several periods.
+    std::optional<model::instance_info> next_exchange_peer() {
+        auto next = take_exchange_peer();
+        if (!next) {
+            begin_exchange_round();
+            next = take_exchange_peer();
+        }
+        return next;
+    }
+
+    std::optional<model::instance_info> take_exchange_peer() {
+        while (!exchange_order_.empty()) {
+            const auto id = std::move(exchange_order_.back());
+            exchange_order_.pop_back();
+            const auto* row = rows_.find(id);
+            if (row != nullptr && row->info.status != model::instance_status::failed) {
+                return row->info;
+            }
+        }
+        return std::nullopt;
+    }
+
+    void begin_exchange_round() {
+        for (const auto* row : rows_.not_failed()) {
+            if (row->info.instance != self_.instance) {
+                const auto at = kernel::uniform_below(random_, exchange_order_.size() + 1);
+                exchange_order_.push_back(row->info.instance);
+                std::swap(exchange_order_[at], exchange_order_.back());
+            }
+        }
+    }
+
     /// An empty `requester` means that this instance probes for itself.
     void send_exchange(const model::instance_info& to, const message_header& requester) {
         const auto header = next_header();
@@ -653,6 +687,8 @@
     gossip_notices notices_;
     kernel::time_point next_exchange_;
     std::uint64_t exchanges_ = 0;
+    /// The instances that exchanges of this round are still to be sent to, the next one last.
+    std::vector<model::instance_id> exchange_order_;
     std::optional<kernel::time_point> push_at_;
     push_rate_limiter push_limiter_;
     push_rate_limiter urgent_push_limiter_;
