--- a/tools/loadgen/internal/load_run.cpp
+++ b/tools/loadgen/internal/load_run.cpp
@@ -37,6 +37,7 @@
             return "connection_lost";
         case runtime::call_status::timed_out:
             return "timed_out";
+        case runtime::call_status::response_too_large:
         case runtime::call_status::answered:
             return "unreadable_response";
     }
