Keep bytes that arrive while a large answer is being written

Callers would see: a request on a kept connection that is refused with 400, or read with other bytes, if its first part arrives while an answer larger than the send buffer is written.

Cause: received bytes were committed to the buffer when their event was handled, and the next read could begin before and write to the same place. They are committed when they arrive now.

--- a/packages/proxy/client_connection.h
+++ b/packages/proxy/client_connection.h
@@ -41,13 +41,13 @@
 
     /// Answers the request that is under way, if any, at once. May be called from other fibers of
     /// the traffic thread.
-    void expire_request() { events_.push(event{event_kind::expire_request, 0, {}}); }
+    void expire_request() { events_.push(event{event_kind::expire_request, {}}); }
 
     /// Closes the connection unless a request is being received or answered. May be called from
     /// other fibers of the traffic thread.
     void close_if_idle() {
         if (idle_) {
-            events_.push(event{event_kind::close_if_idle, 0, {}});
+            events_.push(event{event_kind::close_if_idle, {}});
         }
     }
 
@@ -62,7 +62,6 @@
     };
     struct event {
         event_kind kind = event_kind::client_closed;
-        std::size_t byte_count = 0;
         std::optional<gateway::gateway_answer> answer;
     };
     using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -89,8 +88,10 @@
             [self = this->shared_from_this()](const error_code& ec, std::size_t n) {
                 self->read_pending_ = false;
                 self->input_ended_ = self->input_ended_ || ec;
+                // At once, since the next read may begin before the event is handled.
+                self->buffer_.commit(n);
                 self->events_.push(
-                    event{ec ? event_kind::client_closed : event_kind::bytes_received, n, {}});
+                    event{ec ? event_kind::client_closed : event_kind::bytes_received, {}});
             });
     }
 
@@ -154,9 +155,6 @@
                  buffer_.size() == 0)) {
                 return false;
             }
-            if (next->kind == event_kind::bytes_received) {
-                buffer_.commit(next->byte_count);
-            }
         }
     }
 
@@ -226,7 +224,7 @@
         const auto request = proxied_request<Protocol>::create(
             *context_, view, *route, std::move(received),
             [self = this->shared_from_this()](gateway::gateway_answer answer) {
-                self->events_.push(event{event_kind::answer_ready, 0, std::move(answer)});
+                self->events_.push(event{event_kind::answer_ready, std::move(answer)});
             });
         ++context_->open_requests;
         const bool keep_open = await_answer(*request, received_at, keep_alive);
@@ -258,11 +256,8 @@
                 read_more();
             }
             auto next = events_.pop_until(kernel::time_point::max());
-            if (next->kind == event_kind::bytes_received) {
-                buffer_.commit(next->byte_count);
-                continue;
-            }
-            if (next->kind == event_kind::close_if_idle) {
+            if (next->kind == event_kind::bytes_received ||
+                next->kind == event_kind::close_if_idle) {
                 continue;
             }
             if (next->kind == event_kind::expire_request) {
