Refuse requests whose last transfer coding is not chunked

Callers would see: a request runs that was the body of another one. A request without a length and with a transfer coding such as gzip was taken as one without a body, and the bytes after its header as the next request.

Such a request is answered 400 now and its connection is closed, as RFC 9112 asks.

Result: "a request with an unknown transfer coding is refused, and its body does not run" failed before for all four codings and passes now.

--- a/packages/proxy/client_connection.h
+++ b/packages/proxy/client_connection.h
@@ -133,6 +133,10 @@
                 if (!parse_buffer(*parser)) {
                     return false;
                 }
+                if (has_unknown_body_length(*parser)) {
+                    reject(bad_request, "the last transfer coding is not chunked");
+                    return false;
+                }
                 if (parser->is_done()) {
                     return true;
                 }
@@ -158,6 +162,13 @@
         }
     }
 
+    /// Whether the length of a body is unknown, since its last transfer coding is not `chunked`.
+    /// What follows the header must not be taken for the next request.
+    static bool has_unknown_body_length(const request_parser& parser) {
+        return parser.is_header_done() && !parser.chunked() &&
+               parser.get().count(boost::beast::http::field::transfer_encoding) > 0;
+    }
+
     /// Passes the received bytes to the parser. Returns false if they are not a valid request,
     /// after writing an error answer.
     bool parse_buffer(request_parser& parser) {
