Keep no failure replies as parts of gathers

Found in the read-through of the memory limit: the body of a failure reply was kept in the part of a gather, though only other requests can forward it. Each may have 1 MB until the gather ends.

--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -793,7 +793,7 @@
             fail_after_trial();
             return;
         }
-        if (replied && executed) {
+        if (replied && executed && !is_gather()) {
             part.reply = std::move(result.reply);
         }
         if (part.in_flight > 0) {
@@ -827,7 +827,6 @@
             return;
         }
         reply.body = top_records({reply.body}, gather->top_k);
-        reply.body.shrink_to_fit();
     }
 
     /// Whether a reply settles its part without another attempt. A server error of a backend server
