--- a/packages/proxy/backend_pool.h
+++ b/packages/proxy/backend_pool.h
@@ -272,7 +272,7 @@
             if (!largest) {
                 return;
             }
-            const auto given_up = *largest;
+            const auto& given_up = *largest;
             spdlog::warn("event=reply_given_up request={} server={} bytes={} incomplete_bytes={}",
                          given_up->call->request_id, given_up->server.text(),
                          given_up->parser->get().body().size(), incomplete_replies_.total_bytes());
