Name messages to other instances that are too large

A message of more than 4 MiB was queued and counted as sent, and the receiver closed the connection: no log line or counter said why the followers of a large store got no updates.

The sender now drops such a message with a log line that names the receiver, the size and the limit, and counts it (peers.oversized in the state).

--- a/packages/daemon/peer_module.cpp
+++ b/packages/daemon/peer_module.cpp
@@ -28,6 +28,7 @@
                                     {"received", transport.received},
                                     {"received_bytes", transport.received_bytes},
                                     {"dropped", transport.dropped},
+                                    {"oversized", transport.oversized},
                                     {"refused", count.refused},
                                     {"stale", count.stale}});
         });
--- a/packages/runtime/internal/peer_endpoint.cpp
+++ b/packages/runtime/internal/peer_endpoint.cpp
@@ -1,5 +1,7 @@
 #include "runtime/peer_endpoint.h"
 
+#include <spdlog/spdlog.h>
+
 #include <atomic>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
@@ -11,7 +13,6 @@
 namespace poplarfront::runtime {
 namespace {
 
-constexpr auto max_message_bytes = std::int64_t{4} * 1024 * 1024;
 constexpr int max_queued_messages = 1000;
 constexpr int linger_ms = 200;
 constexpr int initial_reconnect_delay_ms = 100;
@@ -32,7 +33,8 @@
 
     kernel::result<void> bind(const std::string& address) {
         try {
-            router_.set(zmq::sockopt::maxmsgsize, max_message_bytes);
+            router_.set(zmq::sockopt::maxmsgsize,
+                        static_cast<std::int64_t>(max_peer_message_bytes));
             router_.set(zmq::sockopt::linger, 0);
             router_.bind("tcp://" + address);
         } catch (const zmq::error_t& error) {
@@ -44,6 +46,12 @@
     }
 
     void send(const std::string& address, std::string bytes) {
+        if (bytes.size() > max_peer_message_bytes) {
+            ++oversized_;
+            spdlog::error("event=peer_message_oversized peer={} bytes={} limit={}", address,
+                          bytes.size(), max_peer_message_bytes);
+            return;
+        }
         boost::asio::post(thread_->context(),
                           [self = shared_from_this(), address, bytes = std::move(bytes)] {
                               self->send_now(address, bytes);
@@ -60,7 +68,7 @@
     }
 
     [[nodiscard]] message_counters counters() const {
-        return {sent_, sent_bytes_, received_, received_bytes_, dropped_};
+        return {sent_, sent_bytes_, received_, received_bytes_, dropped_, oversized_};
     }
 
     void stop() {
@@ -152,6 +160,7 @@
     std::atomic<std::uint64_t> received_ = 0;
     std::atomic<std::uint64_t> received_bytes_ = 0;
     std::atomic<std::uint64_t> dropped_ = 0;
+    std::atomic<std::uint64_t> oversized_ = 0;
 };
 
 kernel::result<std::shared_ptr<peer_endpoint>> peer_endpoint::create(
--- a/packages/runtime/peer_endpoint.h
+++ b/packages/runtime/peer_endpoint.h
@@ -11,6 +11,9 @@
 
 namespace poplarfront::runtime {
 
+/// Maximum size in bytes of a message between instances. Senders divide what may be larger.
+inline constexpr std::size_t max_peer_message_bytes = std::size_t{4} * 1024 * 1024;
+
 /// Sends and receives messages between instances, with one ZeroMQ ROUTER socket that receives and
 /// one DEALER socket for each instance that messages are sent to. Messages may be lost or delayed.
 ///
@@ -28,6 +31,8 @@
         /// Messages that were not queued because the peer's queue was full, its address was invalid
         /// or no further socket could be opened.
         std::uint64_t dropped = 0;
+        /// Messages that were not queued because they exceed max_peer_message_bytes.
+        std::uint64_t oversized = 0;
         friend auto operator<=>(const message_counters&, const message_counters&) = default;
     };
 
@@ -41,7 +46,8 @@
     peer_endpoint& operator=(const peer_endpoint&) = delete;
 
     /// Queues a message for the instance at `address` and returns immediately. Delivery is not
-    /// confirmed.
+    /// confirmed. A message of more than max_peer_message_bytes, which the receiver would refuse,
+    /// is logged, counted and dropped.
     void send(const std::string& address, std::string bytes);
 
     /// Closes the connection to an instance and discards the messages queued for it; the next
--- a/packages/runtime/tests/peer_endpoint_test.cpp
+++ b/packages/runtime/tests/peer_endpoint_test.cpp
@@ -52,5 +52,31 @@
     thread->stop();
 }
 
+// Guards against a message that is counted as sent although the receiver refuses it because of its
+// size and closes the connection.
+TEST_CASE("a message that is too large is counted, and the others arrive") {
+    const auto thread = fiber_thread::create("test");
+    mailbox<std::string> received;
+    auto sender = peer_endpoint::create(thread, "127.0.0.1:29415", [](const std::string&) {});
+    auto receiver = peer_endpoint::create(thread, "127.0.0.1:29416",
+                                          [&](std::string bytes) { received.push(bytes); });
+    REQUIRE(sender);
+    REQUIRE(receiver);
+    const std::string largest(max_peer_message_bytes, 'x');
+    const auto deadline = std::chrono::steady_clock::now() + milliseconds{3000};
+    sender.value()->send("127.0.0.1:29416", largest + "x");
+    sender.value()->send("127.0.0.1:29416", largest);
+    sender.value()->send("127.0.0.1:29416", "last");
+    thread->run([&] {
+        CHECK(received.pop_until(deadline) == largest);
+        CHECK(received.pop_until(deadline) == "last");
+    });
+    CHECK(sender.value()->counters().oversized == 1);
+    CHECK(sender.value()->counters().sent == 2);
+    sender.value()->stop();
+    receiver.value()->stop();
+    thread->stop();
+}
+
 }  // namespace
 }  // namespace poplarfront::runtime
