Read pages of a listing that end with a large value

A page of the store has at most about 1 MB, but the value that reaches this size may have 1 MiB itself, and values travel as base64 text. Such a page has up to 2.9 MB; the HTTP client accepted 2 MiB.

Responses now have a limit of their own, 3 MiB, which follows from the page. The limit of requests stays.

--- a/packages/runtime/http_types.h
+++ b/packages/runtime/http_types.h
@@ -5,9 +5,12 @@
 
 namespace poplarfront::runtime {
 
-/// Maximum size in bytes of a request or response body; leaves room for a store value, which has at
-/// most 1 MiB.
-inline constexpr std::size_t max_body_bytes = std::size_t{2} * 1024 * 1024;
+/// Maximum size in bytes of a request body; leaves room for a store value, which has at most 1 MiB.
+inline constexpr std::size_t max_request_body_bytes = std::size_t{2} * 1024 * 1024;
+
+/// Maximum size in bytes of a response body. Leaves room for a page of a listing: 1 MB of keys and
+/// another value of 1 MiB that ends the page, as base64 text.
+inline constexpr std::size_t max_response_body_bytes = std::size_t{3} * 1024 * 1024;
 
 struct http_request {
     /// In upper case: GET, POST, PUT or DELETE. A server passes any method to the handler.
@@ -44,7 +47,7 @@
     /// The connection was lost after part of the request may have been sent, or the response was
     /// invalid.
     connection_lost,
-    /// The body of the response exceeds max_body_bytes.
+    /// The body of the response exceeds max_response_body_bytes.
     response_too_large,
     /// The deadline passed after part of the request may have been sent.
     timed_out,
--- a/packages/runtime/internal/http_client.cpp
+++ b/packages/runtime/internal/http_client.cpp
@@ -201,7 +201,7 @@
             return {{to_call_status(write_ec), {}}, false};
         }
         http::response_parser<http::string_body> parser;
-        parser.body_limit(max_body_bytes);
+        parser.body_limit(max_response_body_bytes);
         const auto [read_ec, n] = await<std::size_t>(
             [&](auto handler) { http::async_read(conn.stream, conn.buffer, parser, handler); });
         if (read_ec) {
--- a/packages/runtime/internal/http_server.cpp
+++ b/packages/runtime/internal/http_server.cpp
@@ -161,7 +161,7 @@
 
     bool serve_one(connection& served, beast::flat_buffer& buffer) {
         http::request_parser<http::string_body> parser;
-        parser.body_limit(max_body_bytes);
+        parser.body_limit(max_request_body_bytes);
         served.stream.expires_after(options_.idle_timeout);
         const auto [ec, n] = await<std::size_t>(
             [&](auto handler) { http::async_read(served.stream, buffer, parser, handler); });
