--- a/packages/wire/tests/fleet_codec_test.cpp
+++ b/packages/wire/tests/fleet_codec_test.cpp
@@ -17,6 +17,14 @@
     CHECK(decode_fleet_request(encode_fleet_request(request)).value() == request);
 }
 
+// Guards against a key of another writer that makes the update of all keys unreadable.
+TEST_CASE("a store update with a key that is not UTF-8 is the same after decoding") {
+    const gateway::store_update update{7, false, {{"servers/\xff\xfe", "1", 5, false}}, 4};
+    const auto decoded = decode_fleet_reply(encode_fleet_reply(update));
+    REQUIRE(decoded);
+    CHECK(decoded.value() == update);
+}
+
 TEST_CASE("a truncated store update is refused instead of decoded with fewer changes") {
     const auto bytes = encode_fleet_reply({7, true, {{"key", "value", 5, false}}});
     CHECK_FALSE(decode_fleet_reply(std::string_view{bytes}.substr(0, bytes.size() - 1)));
