Send the contents of the store to followers in parts

Cause, from the logs of these runs: a watch response with two versions exceeds the limit of responses, and the reader lists all keys. After a listing, store_change_log answered every follower with all keys, in one message of more than 4 MiB that the receiver refuses. The followers heard nothing for 1.2 s, logged store_reading outcome=own, and listed the store themselves. The readers themselves were late too: a listing of 60,000 keys took up to 3 s, twice.

Change: - Changes that are too large for one response are read separately: the configuration alone, and the changes of registrations and records. A listing follows only a lost history. - A listing records which keys were deleted, so that followers get what changed. Followers that may know a key that the reader never knew get a listing (deletion gaps). - Changes and listings are sent in parts of 256 KiB, or one value; a follower asks for the next part at once. The change log has an index by revision, so that a request costs what changed, not the number of keys. - Pages are added as they are read, without copies of the whole listing. - Keys that the fleet view does not depend on are not kept.

--- a/packages/gateway/fleet_tracker.h
+++ b/packages/gateway/fleet_tracker.h
@@ -47,6 +47,10 @@
     /// Applies a configuration. Returns false if the current one is at least as new.
     bool on_configuration(std::shared_ptr<const gateway_configuration> configuration);
 
+    /// Whether a change of a backend server's registration at `revision` is newer than the known
+    /// one. Other changes have no effect.
+    [[nodiscard]] bool is_newer(const model::server_id& id, std::uint64_t revision) const;
+
     /// Applies a registration of a backend server, as of `revision` of the store.
     void on_backend(backend_entry entry, std::uint64_t revision);
 
@@ -109,8 +113,6 @@
     /// removal is known. A write whose reply was lost may be applied seconds later, even after the
     /// removal of the registration. An unknown start time counts as the oldest.
     static bool is_outdated(const backend_row& row, const backend_entry& entry);
-    bool is_newer(const model::server_id& id, std::uint64_t revision) const;
-
     fleet_options options_;
     std::shared_ptr<const gateway_configuration> configuration_;
     std::map<model::server_id, backend_row> backend_rows_;
--- a/packages/wire/fleet_codec.h
+++ b/packages/wire/fleet_codec.h
@@ -13,8 +13,8 @@
 
 /// Asks another instance for the contents of the store as that instance has read them.
 struct fleet_request {
-    /// The sender already has all changes up to this revision; 0 if it has none.
-    std::uint64_t after = 0;
+    /// What the sender already knows.
+    gateway::store_position known;
     /// IP:PORT for the reply.
     std::string reply_to;
     friend auto operator<=>(const fleet_request&, const fleet_request&) = default;
--- a/packages/wire/tests/fleet_codec_test.cpp
+++ b/packages/wire/tests/fleet_codec_test.cpp
@@ -13,7 +13,11 @@
     CHECK(decoded.value() == update);
     const gateway::store_update changes{9, false, {{"a", "", 8, true}}, 6};
     CHECK(decode_fleet_reply(encode_fleet_reply(changes)).value() == changes);
-    const fleet_request request{9, "127.0.0.1:5"};
+    const gateway::store_update page{7, true, {{"b", "1", 5, false}}, 0, "a", "b", true, 7, 0};
+    CHECK(decode_fleet_reply(encode_fleet_reply(page)).value() == page);
+    const gateway::store_update part{6, false, {{"b", "1", 5, false}}, 4, "", "", true, 7, 5};
+    CHECK(decode_fleet_reply(encode_fleet_reply(part)).value() == part);
+    const fleet_request request{{9, 12, "servers/b"}, "127.0.0.1:5"};
     CHECK(decode_fleet_request(encode_fleet_request(request)).value() == request);
 }
 
