Offer a free connection to the next waiting request

A request that waits for a connection is woken when one becomes free.

wake_one() now goes on until a waiting request has used the connection or waits again. The new test fails before: the request behind two that had expired was not sent. It is a loop, so that a long list does not nest calls.

--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -667,7 +667,10 @@
         }
         part.wait_list_entry = state_.waiting().add(
             part.service, route_.priority, [this, index](kernel::time_point woken_at) {
-                transport_.call_session([&] { on_connection_free(index, woken_at); });
+                // The session may be released at the end of this call.
+                bool used = false;
+                transport_.call_session([&] { used = on_connection_free(index, woken_at); });
+                return used;
             });
     }
 
@@ -684,19 +687,22 @@
         return now + median_latency * (rounds + 2) > limits_.final_deadline;
     }
 
-    void on_connection_free(std::size_t index, kernel::time_point now) {
+    /// Returns whether the part was sent or waits again.
+    bool on_connection_free(std::size_t index, kernel::time_point now) {
         auto& part = parts_[index];
         part.wait_list_entry.reset();
         if (finished_ || part.state != part_state::open) {
-            state_.wake_one(part.service, now);
-            return;
+            return false;
         }
         wait_deadline_.reset();
         if (now >= limits_.final_deadline) {
-            return;
+            return false;
         }
+        const auto sent_before = part.send_count;
         send_or_wait(index, now);
+        const bool used = part.send_count > sent_before || part.wait_list_entry.has_value();
         answer_if_settled(now);
+        return used;
     }
 
     void leave_wait_lists() {
--- a/packages/gateway/tests/request_session_test.cpp
+++ b/packages/gateway/tests/request_session_test.cpp
@@ -293,6 +293,29 @@
     CHECK(transports[1].sent.size() == 1);
 }
 
+// Guards against requests that wait until their deadline beside a free connection, because the one
+// that was woken for it could not be sent.
+TEST_CASE("a connection that the first waiting request cannot use goes to the next one") {
+    fleet fleet{1, 1};
+    fleet.configuration.services[service("s0")] = service_options{1};
+    fleet.single.objective = milliseconds{1000};
+    traffic_state state{test_options(), 1};
+    const auto view = fleet.published();
+    fake_transport transports[4];
+    session running{state, transports[0], view, fleet.single, request()};
+    session expired{state, transports[1], view, fleet.single, request(milliseconds{5})};
+    session also_expired{state, transports[2], view, fleet.single, request(milliseconds{5})};
+    session waiting{state, transports[3], view, fleet.single, request()};
+    for (auto* it : {&running, &expired, &also_expired, &waiting}) {
+        it->start(start_time);
+    }
+    CHECK(transports[3].sent.empty());
+    running.on_result(0, success("done"), start_time + milliseconds{10});
+    CHECK(transports[1].sent.empty());
+    CHECK(transports[2].sent.empty());
+    CHECK(transports[3].sent.size() == 1);
+}
+
 TEST_CASE("a request that waits too long for a connection is refused before its deadline") {
     // The client can retry at another instance, which may have a free connection.
     fleet fleet{1, 1};
--- a/packages/gateway/traffic_state.h
+++ b/packages/gateway/traffic_state.h
@@ -29,8 +29,9 @@
 /// Not thread-safe; each traffic thread has its own.
 class traffic_state {
 public:
-    /// Called with the current time when a waiting request may try again.
-    using waiter = std::function<void(kernel::time_point)>;
+    /// Called with the current time when a waiting request may try again. Returns false if the
+    /// request has no use for the free connection, so that another one may try.
+    using waiter = std::function<bool(kernel::time_point)>;
 
     /// `started`: from then on budgets are refilled, no matter when they are first used.
     traffic_state(session_options options, std::uint64_t seed,
@@ -131,10 +132,13 @@
         return std::clamp<std::uint32_t>(share, 1, options_.max_connections_per_backend);
     }
 
-    /// Lets the first waiting request of a service, if any, try again.
+    /// Lets the first waiting request of a service try again, and the next ones until one of them
+    /// has used the free connection or waits again.
     void wake_one(const model::service_id& service, kernel::time_point now) {
-        if (const auto first = waiting_.take_first(service)) {
-            (*first)(now);
+        for (auto it = waiting_.take_first(service); it; it = waiting_.take_first(service)) {
+            if ((*it)(now)) {
+                return;
+            }
         }
     }
 
