--- a/packages/wire/fleet_codec.h
+++ b/packages/wire/fleet_codec.h
@@ -17,6 +17,9 @@
     gateway::store_position known;
     /// IP:PORT for the reply.
     std::string reply_to;
+    /// Whether the reply may be a part of an update. Instances of earlier versions expect all keys
+    /// or all changes in one message.
+    bool accepts_parts = true;
     friend auto operator<=>(const fleet_request&, const fleet_request&) = default;
 };
 
--- a/packages/wire/internal/fleet_codec.cpp
+++ b/packages/wire/internal/fleet_codec.cpp
@@ -10,6 +10,7 @@
     message.set_after(request.known.revision);
     message.set_latest(request.known.latest);
     message.set_listed_until(request.known.listed_until);
+    message.set_accepts_parts(request.accepts_parts);
     message.set_reply_to(request.reply_to);
     return message.SerializeAsString();
 }
@@ -17,7 +18,8 @@
 kernel::result<fleet_request> decode_fleet_request(std::string_view bytes) {
     BOOST_LEAF_AUTO(message, internal::parse_message<proto::FleetRequest>(bytes));
     return fleet_request{{message.after(), message.latest(), message.listed_until()},
-                         message.reply_to()};
+                         message.reply_to(),
+                         message.accepts_parts()};
 }
 
 std::string encode_fleet_reply(const gateway::store_update& update) {
--- a/packages/wire/tests/fleet_codec_test.cpp
+++ b/packages/wire/tests/fleet_codec_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "wire/generated/peer.pb.h"
+
 namespace poplarfront::wire {
 namespace {
 
@@ -21,6 +23,17 @@
     CHECK(decode_fleet_request(encode_fleet_request(request)).value() == request);
 }
 
+// Guards against an instance of an earlier version that gets a page of a listing and takes it for
+// all keys, so that it drops all others.
+TEST_CASE("a request of an earlier version does not accept updates in parts") {
+    proto::FleetRequest earlier;
+    earlier.set_after(9);
+    earlier.set_reply_to("127.0.0.1:5");
+    const auto decoded = decode_fleet_request(earlier.SerializeAsString());
+    REQUIRE(decoded);
+    CHECK(decoded.value() == fleet_request{{9, 0, ""}, "127.0.0.1:5", false});
+}
+
 // Guards against a key of another writer that makes the update of all keys unreadable.
 TEST_CASE("a store update with a key that is not UTF-8 is the same after decoding") {
     const gateway::store_update update{7, false, {{"servers/\xff\xfe", "1", 5, false}}, 4};
