Defer removals for less if the instance learns them late

Callers: an instance that was not disturbed still sent requests to a backend server 3 s after its registration had been removed (DRAIN).

Cause: many removals at once are deferred for 2 s, since they may result from an outage of the store. The 2 s were counted from the moment at which the instance learned of the removals. A follower whose reader has ended learns nothing for up to 1.7 s, and the two times add up.

Change: the deferral ends at the latest 2.25 s after the contents of the store were last known, unless a call to the store has failed recently. Updates are applied before they count as the last known contents, and parts of an update do not count.

Ruled out: connections, retries and the choice of the backend server.

--- a/packages/gateway/fleet_tracker.h
+++ b/packages/gateway/fleet_tracker.h
@@ -15,10 +15,13 @@
 struct fleet_options {
     std::string own_name;
     /// Delay of a removal that may result from an outage of the store: backend servers whose
-    /// registrations expired during the outage register again within about 2 s. The delay and the
-    /// propagation time of store changes together have to stay below the time after which a
-    /// departed backend server must not get requests any more.
+    /// registrations expired during the outage register again within about 2 s.
     kernel::duration removal_grace = std::chrono::milliseconds{2000};
+    /// Limit of this delay if no store call has failed, counted from the time when the contents of
+    /// the store were last known. Together with the delay of a reader, which may answer for the
+    /// store as of 0.5 s before, it stays below the 3 s after which a departed backend server must
+    /// not get requests any more.
+    kernel::duration max_removal_delay = std::chrono::milliseconds{2250};
     /// How long after a failed store call a removal is attributed to an outage of the store.
     kernel::duration store_failure_window = std::chrono::seconds{4};
     /// An outage that this instance did not notice itself is detected by many removals within
@@ -73,7 +76,8 @@
     void on_instances_listed(const std::set<std::string>& names, kernel::time_point now);
 
     /// Handles the result of a call to the store, or to an instance that reads the store for this
-    /// one.
+    /// one. If it was reached, all changes that were made before are known from now on. Changes
+    /// that may be as old as the last successful call are therefore applied before this call.
     void on_store_result(bool reached, kernel::time_point now);
 
     /// Time of the next on_timer call; absent if none is needed.
@@ -105,10 +109,10 @@
     };
 
     void select_delegates_for(fleet_view& view) const;
-    /// Records a removal at `now` and returns whether the registration may have expired because of
-    /// an outage of the store: many registrations were removed within the window, or a store call
-    /// failed recently.
-    bool record_removal_and_check_outage(kernel::time_point now);
+    /// Records a removal at `now`. Returns when it takes effect: later if the registration may have
+    /// expired because of an outage of the store, since many registrations were removed within the
+    /// window, or a store call failed recently.
+    kernel::time_point record_removal(kernel::time_point now);
     /// Whether a registration was written before the newest one that is known, or is the one whose
     /// removal is known. A write whose reply was lost may be applied seconds later, even after the
     /// removal of the registration. An unknown start time counts as the oldest.
@@ -119,6 +123,7 @@
     std::shared_ptr<const std::set<model::service_id>> shards_;
     std::map<std::string, instance_row> instance_rows_;
     bool store_reached_ = false;
+    std::optional<kernel::time_point> last_store_success_;
     std::optional<kernel::time_point> last_store_failure_;
     /// Times of the removals within the window.
     std::deque<kernel::time_point> recent_removals_;
--- a/packages/gateway/internal/fleet_tracker.cpp
+++ b/packages/gateway/internal/fleet_tracker.cpp
@@ -88,7 +88,7 @@
     }
 }
 
-bool fleet_tracker::record_removal_and_check_outage(kernel::time_point now) {
+kernel::time_point fleet_tracker::record_removal(kernel::time_point now) {
     recent_removals_.push_back(now);
     while (now - recent_removals_.front() > options_.mass_removal_window) {
         recent_removals_.pop_front();
@@ -97,10 +97,16 @@
         std::count_if(backend_rows_.begin(), backend_rows_.end(),
                       [](const auto& it) { return it.second.entry != nullptr; }));
     const auto removed = recent_removals_.size();
+    if (last_store_failure_ && now - *last_store_failure_ < options_.store_failure_window) {
+        return now + options_.removal_grace;
+    }
     const bool many = removed >= options_.mass_removal_min_count &&
                       static_cast<double>(removed) >= options_.mass_removal_min_fraction * in_use;
-    return many ||
-           (last_store_failure_ && now - *last_store_failure_ < options_.store_failure_window);
+    if (!many) {
+        return now;
+    }
+    const auto last_known = last_store_success_.value_or(now);
+    return std::min(now + options_.removal_grace, last_known + options_.max_removal_delay);
 }
 
 void fleet_tracker::on_backend_removed(const model::server_id& id, std::uint64_t revision,
@@ -110,10 +116,11 @@
     }
     auto& row = backend_rows_[id];
     row.revision = revision;
-    if (row.entry != nullptr && row.entry->state == backend_state::ready &&
-        record_removal_and_check_outage(now)) {
-        row.remove_at = now + options_.removal_grace;
-        return;
+    if (row.entry != nullptr && row.entry->state == backend_state::ready) {
+        if (const auto remove_at = record_removal(now); remove_at > now) {
+            row.remove_at = remove_at;
+            return;
+        }
     }
     row.entry = nullptr;
     row.remove_at.reset();
@@ -134,9 +141,7 @@
 }
 
 void fleet_tracker::on_store_result(bool reached, kernel::time_point now) {
-    if (!reached) {
-        last_store_failure_ = now;
-    }
+    (reached ? last_store_success_ : last_store_failure_) = now;
     changed_ = changed_ || store_reached_ != reached;
     store_reached_ = reached;
 }
--- a/packages/gateway/tests/fleet_tracker_test.cpp
+++ b/packages/gateway/tests/fleet_tracker_test.cpp
@@ -119,6 +119,37 @@
     CHECK(backend_count(tracker) == 0);
 }
 
+// Guards against a delay that is added to the time in which an instance gets no updates: the
+// registrations may have been removed at the beginning of that time.
+TEST_CASE("many removals after a time without updates are deferred for less") {
+    fleet_tracker tracker;
+    const std::vector<std::string> names{"a", "b", "c", "d"};
+    for (const auto& it : names) {
+        tracker.on_backend(*backend(it, "s"), 10);
+    }
+    tracker.on_store_result(true, start_time);
+    const auto [silence, expected_delay] =
+        GENERATE(table<milliseconds, milliseconds>({{milliseconds{0}, milliseconds{2000}},
+                                                    {milliseconds{250}, milliseconds{2000}},
+                                                    {milliseconds{1500}, milliseconds{750}},
+                                                    {milliseconds{3000}, milliseconds{0}}}));
+    const auto now = start_time + silence;
+    for (const auto& it : names) {
+        tracker.on_backend_removed(model::server_id::trusted(it), 20, now);
+    }
+    tracker.on_store_result(true, now);
+    if (expected_delay > milliseconds{0}) {
+        REQUIRE(tracker.next_timer());
+        CHECK(*tracker.next_timer() == now + expected_delay);
+        tracker.on_timer(now + expected_delay);
+        CHECK(backend_count(tracker) == 0);
+    } else {
+        // The first two removals are not many.
+        CHECK_FALSE(tracker.next_timer());
+        CHECK(backend_count(tracker) == 0);
+    }
+}
+
 TEST_CASE("a few removals in a large fleet take effect at once") {
     fleet_tracker tracker;
     for (int it = 0; it < 40; ++it) {
