Discard the trailer fields of chunked messages

Callers: fields after a chunked body counted as header fields. A client could add a second Request-Id to what backend servers get, or Connection fields that apply to this instance; a 503 of a backend server that had run an unsafe request counted as not run if "Not-Executed" followed its body, and the request was sent three more times.

Cause: the parser adds trailer fields to the header, for requests and replies alike.

Change: message_parser keeps the header as it was before the body of a chunked message. Whether a connection is kept is decided by it too.

--- a/packages/proxy/backend_connection.h
+++ b/packages/proxy/backend_connection.h
@@ -2,8 +2,6 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -12,6 +10,7 @@
 #include "gateway/backend_reply.h"
 #include "model/identifier.h"
 #include "proxy/gateway_protocol.h"
+#include "proxy/message_parser.h"
 
 namespace poplarfront::proxy {
 
@@ -39,7 +38,7 @@
     model::server_id server;
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer{max_buffer_bytes};
-    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser;
+    std::optional<message_parser<false>> parser;
     std::optional<backend_call> call;
     bool connected = false;
     bool written = false;
--- a/packages/proxy/backend_pool.h
+++ b/packages/proxy/backend_pool.h
@@ -281,11 +281,10 @@
     }
 
     void on_reply_received(const connection_ptr& connection) {
-        const bool reusable = connection->parser->get().keep_alive() && connection->written &&
-                              connection->buffer.size() == 0 &&
-                              !connection->parser->get().need_eof();
-        incomplete_replies_.remove(connection);
         auto message = connection->parser->release();
+        const bool reusable = message.keep_alive() && connection->written &&
+                              connection->buffer.size() == 0 && !message.need_eof();
+        incomplete_replies_.remove(connection);
         connection->usable_until = now() + idle_timeout(message);
         auto reply = Protocol::decode_backend_reply(
             std::move(message), connection->call->request_id, connection->call->fields);
--- a/packages/proxy/client_connection.h
+++ b/packages/proxy/client_connection.h
@@ -3,7 +3,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/fiber/operations.hpp>
 #include <memory>
 #include <optional>
@@ -11,6 +10,7 @@
 #include <utility>
 #include <variant>
 
+#include "proxy/message_parser.h"
 #include "proxy/proxied_request.h"
 #include "proxy/request_log.h"
 #include "proxy/traffic_context.h"
@@ -64,7 +64,7 @@
         event_kind kind = event_kind::client_closed;
         std::optional<gateway::gateway_answer> answer;
     };
-    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using request_parser = message_parser<true>;
     using error_code = boost::system::error_code;
 
     static kernel::time_point now() { return kernel::time_point::clock::now(); }
@@ -101,9 +101,10 @@
         if (!read_request(parser)) {
             return false;
         }
-        const bool keep_alive = parser->get().keep_alive();
-        auto received = Protocol::decode_client_request(parser->release(), now());
+        auto request = parser->release();
         parser.reset();
+        const bool keep_alive = request.keep_alive();
+        auto received = Protocol::decode_client_request(std::move(request), now());
         if (const auto* refused = std::get_if<refused_request>(&received)) {
             log_refused({}, refused->status, refused->reason);
             return write(Protocol::encode_failure(refused->status, refused->reason, keep_alive)) &&
