--- a/packages/gateway/backend_reply.h
+++ b/packages/gateway/backend_reply.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,9 @@
     /// The backend server's signature of this reply; empty if there is none.
     std::string signature;
     std::string body;
+    /// The length that the header of a reply to HEAD states for the body that GET would get; absent
+    /// if it states none, or if the reply has a body.
+    std::optional<std::uint64_t> stated_length;
     /// Header fields to forward to the client; empty for a part of a gather.
     std::vector<std::pair<std::string, std::string>> fields;
     std::optional<reported_load> load;
--- a/packages/proxy/client_connection.h
+++ b/packages/proxy/client_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -7,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 
@@ -104,10 +106,12 @@
         auto request = parser->release();
         parser.reset();
         const bool keep_alive = request.keep_alive();
+        answer_has_body_ = request.method() != boost::beast::http::verb::head;
         auto received = Protocol::decode_client_request(std::move(request), now());
         if (const auto* refused = std::get_if<refused_request>(&received)) {
             log_refused({}, refused->status, refused->reason);
-            return write(Protocol::encode_failure(refused->status, refused->reason, keep_alive)) &&
+            return write_answer(
+                       Protocol::encode_failure(refused->status, refused->reason, keep_alive)) &&
                    keep_alive;
         }
         return handle_request(std::move(std::get<received_request>(received)), keep_alive);
@@ -287,7 +291,7 @@
             const auto elapsed = now() - received_at;
             context_->latencies.record(elapsed);
             context_->answers.add(to_string(next->answer->kind));
-            const bool written = write(
+            const bool written = write_answer(
                 Protocol::encode_gateway_answer(*next->answer, request.request().id, keep_open));
             request.on_write_ended();
             log_answer(request.request(), request.request_route(), *next->answer, elapsed);
@@ -301,7 +305,17 @@
         const bool keep_open = keep_alive && !context_->stopping;
         context_->answers.add(std::to_string(status));
         log_refused(id, status, reason);
-        return write(Protocol::encode_failure(status, reason, keep_open)) && keep_open;
+        return write_answer(Protocol::encode_failure(status, reason, keep_open)) && keep_open;
+    }
+
+    /// Writes an answer to the request that was read, without its body if this was HEAD: the client
+    /// would take the body for the next answer.
+    bool write_answer(std::string bytes) {
+        constexpr std::string_view header_end = "\r\n\r\n";
+        if (!answer_has_body_) {
+            bytes.resize(std::min(bytes.size(), bytes.find(header_end) + header_end.size()));
+        }
+        return write(bytes);
     }
 
     /// False if the client has disconnected or has not read all bytes within the idle timeout.
@@ -365,6 +379,8 @@
     bool input_ended_ = false;
     bool idle_ = false;
     bool continue_sent_ = false;
+    /// False if the request that is being answered is HEAD.
+    bool answer_has_body_ = true;
 };
 
 }  // namespace poplarfront::proxy
