Keep updates in flight within their limit

Callers: none have reported it. Updates in flight to other instances could exceed the 16 MiB by one update, about 1.3 MB and up to 4 MiB.

Cause: the limit was checked before the size of the next update was added. The update was also copied from the change log before it was known that the last one for the same follower is still in flight.

Change: an update that would exceed the limit waits, unless nothing else is in flight.

Result: a case of update_window_test with sizes that do not divide the limit; the code before it sends the second update there.

--- a/packages/gateway/internal/update_window.cpp
+++ b/packages/gateway/internal/update_window.cpp
@@ -2,30 +2,30 @@
 
 namespace poplarfront::gateway {
 
-update_window::decision update_window::on_request(const std::string& address,
-                                                  const store_position& known,
-                                                  kernel::time_point now) {
-    const auto last = in_flight_.find(address);
-    const bool is_repeated = last != in_flight_.end() && last->second.known == known;
-    if (is_repeated && now - last->second.sent_at < options_.timeout) {
-        return decision::wait;
-    }
-    if (last != in_flight_.end()) {
-        release(last->second);
+update_window::last_update update_window::on_request(const std::string& address,
+                                                     const store_position& known,
+                                                     kernel::time_point now) {
+    const auto last = last_updates_.find(address);
+    if (last == last_updates_.end()) {
+        return last_update::received;
     }
-    release_expired(now);
-    if (bytes_in_flight_ >= options_.max_bytes) {
-        return decision::wait;
+    const bool is_repeated = last->second.known == known;
+    if (is_repeated && now - last->second.sent_at < options_.timeout) {
+        return last_update::in_flight;
     }
-    return is_repeated ? decision::send_again : decision::send;
+    release(last->second);
+    return is_repeated ? last_update::lost : last_update::received;
 }
 
-void update_window::on_sent(const std::string& address, const store_position& known,
+bool update_window::try_add(const std::string& address, const store_position& known,
                             std::size_t bytes, kernel::time_point now) {
-    auto& last = in_flight_[address];
-    release(last);
-    last = {known, bytes, now};
+    release_expired(now);
+    if (bytes_in_flight_ > 0 && bytes_in_flight_ + bytes > options_.max_bytes) {
+        return false;
+    }
+    last_updates_[address] = {known, bytes, now};
     bytes_in_flight_ += bytes;
+    return true;
 }
 
 void update_window::release(sent_update& update) {
@@ -34,12 +34,12 @@
 }
 
 void update_window::release_expired(kernel::time_point now) {
-    for (auto& [address, last] : in_flight_) {
+    for (auto& [address, last] : last_updates_) {
         if (now - last.sent_at >= options_.timeout) {
             release(last);
         }
     }
-    std::erase_if(in_flight_,
+    std::erase_if(last_updates_,
                   [&](const auto& it) { return now - it.second.sent_at >= options_.retention; });
 }
 
--- a/packages/gateway/tests/update_window_test.cpp
+++ b/packages/gateway/tests/update_window_test.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using decision = update_window::decision;
 
 constexpr std::size_t part_bytes = 100;
 const kernel::time_point start_time{};
@@ -18,15 +17,18 @@
     return options;
 }
 
-/// Requests an update of `part_bytes` and records it if it is sent.
+enum class decision { send, send_again, wait };
+
+/// Requests an update of `bytes`, which is added if the window allows it.
 decision request(update_window& window, const std::string& address, std::uint64_t revision,
-                 kernel::time_point now) {
+                 kernel::time_point now, std::size_t bytes = part_bytes) {
+    using last_update = update_window::last_update;
     const store_position known{revision, revision, ""};
-    const auto decided = window.on_request(address, known, now);
-    if (decided != decision::wait) {
-        window.on_sent(address, known, part_bytes, now);
+    const auto last = window.on_request(address, known, now);
+    if (last == last_update::in_flight || !window.try_add(address, known, bytes, now)) {
+        return decision::wait;
     }
-    return decided;
+    return last == last_update::lost ? decision::send_again : decision::send;
 }
 
 // Guards against an instance whose memory is filled by updates for many followers that ask at the
@@ -54,6 +56,19 @@
     }
 }
 
+// Guards against updates that exceed the limit together, since only those before them were counted.
+TEST_CASE("an update that would exceed the limit has to wait, unless it is alone") {
+    update_window window{test_options()};
+    CHECK(request(window, "a", 1, start_time, 2 * part_bytes) == decision::send);
+    CHECK(request(window, "b", 1, start_time, 2 * part_bytes) == decision::wait);
+    CHECK(request(window, "c", 1, start_time, part_bytes) == decision::send);
+    CHECK(window.bytes_in_flight() == 3 * part_bytes);
+    const auto later = start_time + milliseconds{1000};
+    CHECK(request(window, "b", 1, later, 5 * part_bytes) == decision::send);
+    CHECK(request(window, "c", 2, later, part_bytes) == decision::wait);
+    CHECK(window.bytes_in_flight() == 5 * part_bytes);
+}
+
 // Guards against a follower whose connection is stalled and that asks again and again: each reply
 // would be queued beside the earlier ones.
 TEST_CASE("an update is sent again only when it counts as lost") {
