--- a/packages/gateway/internal/store_change_log.cpp
+++ b/packages/gateway/internal/store_change_log.cpp
@@ -11,6 +11,13 @@
 /// earlier deletions were missing.
 constexpr std::size_t max_deletion_gaps = 16;
 
+void insert_or_replace(store_contents& contents, const store_change& change) {
+    const auto [it, inserted] = contents.insert(change);
+    if (!inserted) {
+        contents.replace(it, change);
+    }
+}
+
 }  // namespace
 
 bool store_change_log::accepts(const store_update& update) const {
@@ -102,19 +109,11 @@
     if (deletion != deletions_.end()) {
         deletions_.erase(deletion);
     }
-    if (known != existing_.end()) {
-        existing_.replace(known, change);
-    } else {
-        existing_.insert(change);
-    }
+    insert_or_replace(existing_, change);
 }
 
 void store_change_log::add_deletion(const store_change& change) {
-    if (const auto known = deletions_.find(change.key); known != deletions_.end()) {
-        deletions_.replace(known, change);
-    } else {
-        deletions_.insert(change);
-    }
+    insert_or_replace(deletions_, change);
     if (deletions_.size() > max_deletions_) {
         auto& oldest_first = deletions_.get<by_revision>();
         deletions_incomplete_until_ =
