--- a/packages/gateway/crash_quarantine.h
+++ b/packages/gateway/crash_quarantine.h
@@ -129,8 +129,8 @@
     [[nodiscard]] std::size_t crash_count(request_fingerprint fingerprint) const {
         return crashes_of(fingerprint).size();
     }
-    [[nodiscard]] std::optional<crash_trial> next_trial(request_fingerprint fingerprint,
-                                                        kernel::time_point now) const;
+    [[nodiscard]] bool trial_due(request_fingerprint fingerprint, kernel::time_point now) const;
+    [[nodiscard]] crash_trial next_trial(request_fingerprint fingerprint) const;
     void remove(request_fingerprint fingerprint, const std::set<crash_record>& crashes,
                 std::set<crash_trial> trials, kernel::time_point now);
     void remove_expired(kernel::time_point now);
--- a/packages/gateway/internal/crash_quarantine.cpp
+++ b/packages/gateway/internal/crash_quarantine.cpp
@@ -105,7 +105,7 @@
         found.changed_at = now;
         publish({crashes_of(fingerprint), {}, {}});
     }
-    return !found.trial && next_trial(fingerprint, now) ? admission::trial_due : admission::refused;
+    return !found.trial && trial_due(fingerprint, now) ? admission::trial_due : admission::refused;
 }
 
 bool crash_quarantine::suspected_at(request_fingerprint fingerprint,
@@ -124,10 +124,8 @@
 
 void crash_quarantine::claim_trial(request_fingerprint fingerprint,
                                    trial_decision_handler on_decision) {
-    const auto* request = shared(fingerprint);
-    const auto last = request == nullptr || request->trials.empty() ? 0 : *request->trials.rbegin();
     auto& found = entries_[fingerprint];
-    found.trial = crash_trial{fingerprint, last + 1};
+    found.trial = next_trial(fingerprint);
     found.on_trial_decision = std::move(on_decision);
     if (publication_.claim_trial) {
         publication_.claim_trial(*found.trial);
@@ -206,17 +204,20 @@
     return crashes;
 }
 
-std::optional<crash_trial> crash_quarantine::next_trial(request_fingerprint fingerprint,
-                                                        kernel::time_point now) const {
+bool crash_quarantine::trial_due(request_fingerprint fingerprint, kernel::time_point now) const {
     const auto* request = shared(fingerprint);
     const auto done = request == nullptr ? 0 : request->trials.size();
-    const auto it = entries_.find(fingerprint);
-    if (done >= options_.trial_delays.size() ||
-        (it != entries_.end() && now - it->second.changed_at < options_.trial_delays.at(done))) {
-        return std::nullopt;
+    if (done >= options_.trial_delays.size()) {
+        return false;
     }
-    const auto last = done == 0 ? 0 : *request->trials.rbegin();
-    return crash_trial{fingerprint, last + 1};
+    const auto it = entries_.find(fingerprint);
+    return it == entries_.end() || now - it->second.changed_at >= options_.trial_delays.at(done);
+}
+
+crash_trial crash_quarantine::next_trial(request_fingerprint fingerprint) const {
+    const auto* request = shared(fingerprint);
+    const auto last = request == nullptr || request->trials.empty() ? 0 : *request->trials.rbegin();
+    return {fingerprint, last + 1};
 }
 
 void crash_quarantine::remove(request_fingerprint fingerprint,
