Remove delegated gathers that were refused

Callers: none have reported it. An instance that delegates gathers kept an entry for each one that a delegate refused, until it ended.

Cause: an entry was removed when the gather was answered or cancelled; a refusal is neither.

Change: the last report of a gather, refused or answered, removes it.

Result: a case of delegated_gather_table_test for the three kinds of report. The size of the table could not be read before.

--- a/packages/proxy/delegated_gather_table.h
+++ b/packages/proxy/delegated_gather_table.h
@@ -50,9 +50,13 @@
     /// arrive, so both instances reopen their connections to each other.
     void cancel(std::uint64_t number, const std::string& address, bool reports_missed);
 
-    /// Passes a report to the handler of its gather. Ignored if the gather was removed.
+    /// Passes a report to the handler of its gather, and removes the gather if the report is its
+    /// last one. Ignored if the gather was removed.
     void on_report(const gateway::gather_report& report);
 
+    /// Number of gathers that wait for a report.
+    [[nodiscard]] std::size_t size() const { return report_handlers_.size(); }
+
 private:
     static std::uint64_t random_multiple_of(std::uint64_t n);
 
--- a/packages/proxy/internal/delegated_gather_table.cpp
+++ b/packages/proxy/internal/delegated_gather_table.cpp
@@ -53,11 +53,15 @@
 
 void delegated_gather_table::on_report(const gateway::gather_report& report) {
     const auto it = report_handlers_.find(report.number);
-    if (it != report_handlers_.end()) {
-        // A copy, since the handler may remove the gather.
-        const auto handler = it->second;
-        handler(report);
+    if (it == report_handlers_.end()) {
+        return;
     }
+    // A copy, since the handler may remove the gather.
+    const auto handler = it->second;
+    if (report.status != gateway::gather_report::gather_status::in_progress) {
+        report_handlers_.erase(it);
+    }
+    handler(report);
 }
 
 }  // namespace poplarfront::proxy
--- a/packages/proxy/tests/delegated_gather_table_test.cpp
+++ b/packages/proxy/tests/delegated_gather_table_test.cpp
@@ -35,6 +35,23 @@
     CHECK(reports == 0);
 }
 
+// Guards against an entry that stays for each gather that a delegate has refused or answered.
+TEST_CASE("a gather is removed with its last report") {
+    using gather_status = gateway::gather_report::gather_status;
+    const auto [status, is_last] =
+        GENERATE(table<gather_status, bool>({{gather_status::in_progress, false},
+                                             {gather_status::refused, true},
+                                             {gather_status::answered, true}}));
+    auto table = table_of_new_process();
+    int reports = 0;
+    gateway::gather_report report;
+    report.number = table.send("127.0.0.1:2", {}, [&](const auto&) { ++reports; });
+    report.status = status;
+    table.on_report(report);
+    CHECK(reports == 1);
+    CHECK(table.size() == (is_last ? 0 : 1));
+}
+
 TEST_CASE("the number of a gather identifies the traffic thread that has delegated it") {
     constexpr std::uint64_t thread_count = 3;
     for (std::uint64_t index = 0; index < thread_count; ++index) {
