Never choose a service of weight 0 because of rounding

Callers: none have reported it. A part of a split with weight 0 at the end of the list could get a request (ROUTE) if rounding left a rest.

Cause: the rest went to the last part, whatever its weight. Shown with the weights 0.1, 0.2, 0.3 and 0 and the largest number below 1, for which the code before returns the service of weight 0.

Change: a rest belongs to the last part with a weight.

Result: a case of values_test with these weights.

--- a/packages/gateway/tests/values_test.cpp
+++ b/packages/gateway/tests/values_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <cmath>
 
 #include "fixture.h"
 #include "gateway/top_records.h"
@@ -34,6 +35,13 @@
     CHECK(choose_weighted(split, 0.999999) == service("all"));
 }
 
+// Guards against rounding that leaves a rest after the last part with a weight.
+TEST_CASE("a service of weight 0 at the end of the range gets no requests") {
+    const weighted_split split{
+        {{service("a"), 0.1}, {service("b"), 0.2}, {service("c"), 0.3}, {service("none"), 0}}};
+    CHECK(choose_weighted(split, std::nextafter(1.0, 0.0)) == service("c"));
+}
+
 TEST_CASE("an entry removed from the wait list is not served, the others by priority") {
     wait_list<int> list;
     const auto first = list.add(service("s"), 1, 1);
--- a/packages/gateway/weighted_choice.h
+++ b/packages/gateway/weighted_choice.h
@@ -5,9 +5,8 @@
 namespace poplarfront::gateway {
 
 /// Maps `point` in [0, 1) to a service of the split. Each service covers a range in proportion to
-/// its weight, so that a service of weight 0 is not chosen, except that rounding may choose the
-/// last one. Thread-safe.
-/// Precondition: the split is not empty.
+/// its weight, so that a service of weight 0 is not chosen unless all have this weight.
+/// Thread-safe. Precondition: the split is not empty.
 [[nodiscard]] inline const model::service_id& choose_weighted(const weighted_split& split,
                                                               double point) {
     double total = 0;
@@ -15,13 +14,16 @@
         total += it.weight;
     }
     double remaining = point * total;
+    // Rounding may leave a rest after the last part, which belongs to the last one with a weight.
+    const auto* chosen = &split.parts.back();
     for (const auto& it : split.parts) {
         if (remaining < it.weight) {
             return it.service;
         }
         remaining -= it.weight;
+        chosen = it.weight > 0 ? &it : chosen;
     }
-    return split.parts.back().service;
+    return chosen->service;
 }
 
 }  // namespace poplarfront::gateway
