Send an interim reply to each request that expects one

Callers: a client that sends "Expect: 100-continue" and no Request-Id is refused with 400; its next such request on the connection waited in vain for the interim reply, and was answered 408.

Cause: the note that an interim reply was sent was reset only for valid requests.

Change: it is reset when the connection waits for the next request.

--- a/packages/proxy/client_connection.h
+++ b/packages/proxy/client_connection.h
@@ -123,6 +123,7 @@
         const auto client_limits = limits();
         auto deadline = now() + client_limits.idle_timeout;
         bool request_begun = false;
+        continue_sent_ = false;
         parser.emplace();
         parser->eager(true);
         parser->header_limit(client_limits.max_header_bytes);
@@ -216,7 +217,6 @@
 
     /// Finds the route of a request and answers it. False if the connection is to be closed.
     bool handle_request(received_request received, bool keep_alive) {
-        continue_sent_ = false;
         const auto received_at = received.request.received;
         const auto id = received.request.id;
         if (context_->refuses_requests) {
