--- a/packages/gateway/tests/request_session_test.cpp
+++ b/packages/gateway/tests/request_session_test.cpp
@@ -2,6 +2,7 @@
 #include <set>
 
 #include "fixture.h"
+#include "gateway/top_records.h"
 
 namespace poplarfront::gateway {
 namespace {
