--- a/packages/gateway/store_update.h
+++ b/packages/gateway/store_update.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "kernel/concepts.h"
+
 namespace poplarfront::gateway {
 
 /// The last change of a key of the store.
@@ -41,6 +43,9 @@
     /// Only if not a listing, and not 0: the receiver must not know any change after this revision,
     /// since the sender does not know whether the key was deleted later.
     std::uint64_t max_known = 0;
+    /// How long ago the sender of this update last knew that it could follow the store. Changes
+    /// that are younger may be missing.
+    kernel::duration age{};
     friend auto operator<=>(const store_update&, const store_update&) = default;
 };
 
--- a/packages/wire/internal/fleet_codec.cpp
+++ b/packages/wire/internal/fleet_codec.cpp
@@ -1,9 +1,17 @@
 #include "wire/fleet_codec.h"
 
+#include <algorithm>
+#include <chrono>
+
 #include "wire/generated/peer.pb.h"
 #include "wire/internal/proto_fields.h"
 
 namespace poplarfront::wire {
+namespace {
+
+constexpr std::uint32_t max_age_ms = 3'600'000;
+
+}  // namespace
 
 std::string encode_fleet_request(const fleet_request& request) {
     proto::FleetRequest message;
@@ -32,6 +40,9 @@
     message.set_more(update.more);
     message.set_latest(update.latest);
     message.set_max_known(update.max_known);
+    using std::chrono::milliseconds;
+    const auto age_ms = std::chrono::duration_cast<milliseconds>(update.age).count();
+    message.set_age_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(age_ms, 0, max_age_ms)));
     for (const auto& change : update.changes) {
         auto& out_change = *message.add_changes();
         out_change.set_key(change.key);
@@ -53,6 +64,7 @@
     update.more = message.more();
     update.latest = message.latest();
     update.max_known = message.max_known();
+    update.age = std::chrono::milliseconds{std::min(message.age_ms(), max_age_ms)};
     for (const auto& change : message.changes()) {
         update.changes.push_back(
             {change.key(), change.value(), change.revision(), change.deleted()});
--- a/packages/wire/tests/fleet_codec_test.cpp
+++ b/packages/wire/tests/fleet_codec_test.cpp
@@ -19,6 +19,9 @@
     CHECK(decode_fleet_reply(encode_fleet_reply(page)).value() == page);
     const gateway::store_update part{6, false, {{"b", "1", 5, false}}, 4, "", "", true, 7, 5};
     CHECK(decode_fleet_reply(encode_fleet_reply(part)).value() == part);
+    auto aged = changes;
+    aged.age = std::chrono::milliseconds{1250};
+    CHECK(decode_fleet_reply(encode_fleet_reply(aged)).value() == aged);
     const fleet_request request{{9, 12, "servers/b"}, "127.0.0.1:5"};
     CHECK(decode_fleet_request(encode_fleet_request(request)).value() == request);
 }
