Keep no connection that a probe opens after the pool was closed

Callers: none. A connection that a probe opened after the pool of its thread was closed stayed open until the process ended.

Cause: the handler of the probe did not know that the pool was closed.

Change: the connection is closed then. Both handlers of a connect share their four lines.

--- a/packages/proxy/backend_pool.h
+++ b/packages/proxy/backend_pool.h
@@ -120,7 +120,10 @@
         std::erase_if(idle_, [&](const auto& it) { return !keep(it.first); });
     }
 
+    /// Closes all connections, without calling the handlers of their calls. Precondition: nothing
+    /// is started afterwards.
     void close() {
+        closed_ = true;
         deadline_check_timer_.cancel();
         idle_check_timer_.cancel();
         idle_.clear();
@@ -202,19 +205,24 @@
                 end_call(connection, {gateway::attempt_end::not_sent, {}});
                 return;
             }
-            ++counters_.opened;
-            connection->connected = true;
-            error_code ignored;
-            connection->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+            on_connected(*connection);
             start_exchange(connection);
         });
     }
 
-    void keep_probed_connection(const connection_ptr& connection) {
+    void on_connected(backend_connection& connection) {
         ++counters_.opened;
-        connection->connected = true;
+        connection.connected = true;
         error_code ignored;
-        connection->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        connection.socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    }
+
+    void keep_probed_connection(const connection_ptr& connection) {
+        if (closed_) {
+            close_socket(*connection);
+            return;
+        }
+        on_connected(*connection);
         connection->usable_until = now() + options_.default_idle_timeout;
         idle_[connection->server].push_back(connection);
         schedule_idle_check();
@@ -417,6 +425,7 @@
     boost::asio::steady_timer deadline_check_timer_;
     boost::asio::steady_timer idle_check_timer_;
     gateway::incomplete_replies<connection_ptr> incomplete_replies_;
+    bool closed_ = false;
     bool check_scheduled_ = false;
     bool idle_check_scheduled_ = false;
     std::map<model::server_id, std::vector<connection_ptr>> idle_;
