Suppress the log of libprotobuf when the program is loaded

SetLogHandler is not thread-safe and meant for initialization. A LogSilencer, which is made for this purpose, exists from the start of the program on instead.

Found by reading the diff. malformed_message_test still writes no line of the library.

--- a/packages/wire/internal/envelope.cpp
+++ b/packages/wire/internal/envelope.cpp
@@ -1,9 +1,18 @@
 #include "wire/envelope.h"
 
+#include <google/protobuf/stubs/logging.h>
+
 #include "wire/generated/peer.pb.h"
 #include "wire/internal/proto_fields.h"
 
 namespace poplarfront::wire {
+namespace {
+
+/// Suppresses the lines that the library writes to the standard error for many malformed messages,
+/// outside of the limits of the log. The callers of the decoders log the returned errors.
+const google::protobuf::LogSilencer library_log_silencer;
+
+}  // namespace
 
 std::string encode_envelope(const envelope& message) {
     proto::Envelope out;
--- a/packages/wire/internal/proto_fields.h
+++ b/packages/wire/internal/proto_fields.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <google/protobuf/stubs/logging.h>
-
 #include <cstddef>
 #include <limits>
 #include <string>
@@ -16,9 +14,6 @@
 /// Parses a protobuf message. Errors: wire_error without a field if the bytes are malformed.
 template <class Message>
 kernel::result<Message> parse_message(std::string_view bytes) {
-    // The library would write a line to the standard error for many malformed messages, outside of
-    // the limits of the log. The caller logs the returned error.
-    [[maybe_unused]] static const auto previous_handler = google::protobuf::SetLogHandler(nullptr);
     constexpr auto max_bytes = static_cast<std::size_t>(std::numeric_limits<int>::max());
     Message message;
     if (bytes.size() > max_bytes ||
