--- a/packages/gateway/fleet_tracker.h
+++ b/packages/gateway/fleet_tracker.h
@@ -79,8 +79,8 @@
     /// one. If it was reached, all changes that were made before are known from now on. Changes
     /// that may be as old as the last successful call are therefore applied before this call.
     void on_store_result(bool reached, kernel::time_point now);
-    /// Handles the end of updates by another instance, which was last sure of the store at
-    /// `known_until`.
+    /// Handles the end of updates by another instance, which has last confirmed its state with the
+    /// store at `known_until`.
     void on_updates_interrupted(kernel::time_point known_until) {
         last_store_success_ = known_until;
     }
