--- a/packages/gateway/attempt_statistics.h
+++ b/packages/gateway/attempt_statistics.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gateway/request_part.h"
--- a/packages/gateway/extra_attempts.h
+++ b/packages/gateway/extra_attempts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <vector>
 
--- a/packages/gateway/internal/fleet_tracker.cpp
+++ b/packages/gateway/internal/fleet_tracker.cpp
@@ -93,13 +93,13 @@
     while (now - recent_removals_.front() > options_.mass_removal_window) {
         recent_removals_.pop_front();
     }
+    if (last_store_failure_ && now - *last_store_failure_ < options_.store_failure_window) {
+        return now + options_.removal_grace;
+    }
     const auto in_use = static_cast<double>(
         std::count_if(backend_rows_.begin(), backend_rows_.end(),
                       [](const auto& it) { return it.second.entry != nullptr; }));
     const auto removed = recent_removals_.size();
-    if (last_store_failure_ && now - *last_store_failure_ < options_.store_failure_window) {
-        return now + options_.removal_grace;
-    }
     const bool many = removed >= options_.mass_removal_min_count &&
                       static_cast<double>(removed) >= options_.mass_removal_min_fraction * in_use;
     if (!many) {
--- a/packages/gateway/internal/service_availability.cpp
+++ b/packages/gateway/internal/service_availability.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <vector>
 
 namespace poplarfront::gateway {
 namespace {
@@ -30,21 +31,21 @@
     });
 }
 
-std::size_t servable_part_count(const std::vector<request_part>& parts, const traffic_state& state,
-                                kernel::time_point now) {
-    return static_cast<std::size_t>(std::count_if(
-        parts.begin(), parts.end(), [&](const auto& it) { return is_servable(it, state, now); }));
+bool is_servable(const request_parts& parts, const traffic_state& state, kernel::time_point now) {
+    const auto servable = std::count_if(
+        parts.begin(), parts.end(), [&](const auto& it) { return is_servable(it, state, now); });
+    return static_cast<std::size_t>(servable) >= parts.needed_count();
 }
 
-kernel::duration time_until_servable(const std::vector<request_part>& parts, std::size_t needed,
-                                     const traffic_state& state, kernel::time_point now) {
+kernel::duration time_until_servable(const request_parts& parts, const traffic_state& state,
+                                     kernel::time_point now) {
     std::vector<kernel::duration> waits;
     waits.reserve(parts.size());
     for (const auto& it : parts) {
         waits.push_back(time_until_servable(it, state, now));
     }
     std::sort(waits.begin(), waits.end());
-    return waits.at(needed - 1);
+    return waits.at(parts.needed_count() - 1);
 }
 
 }  // namespace poplarfront::gateway
--- a/packages/gateway/request_parts.h
+++ b/packages/gateway/request_parts.h
@@ -31,7 +31,6 @@
     [[nodiscard]] auto end() { return parts_.end(); }
     [[nodiscard]] auto begin() const { return parts_.begin(); }
     [[nodiscard]] auto end() const { return parts_.end(); }
-    [[nodiscard]] const std::vector<request_part>& all() const { return parts_; }
 
     /// How many parts an answer needs at least.
     [[nodiscard]] std::size_t needed_count() const { return needed_count_; }
--- a/packages/gateway/request_session.h
+++ b/packages/gateway/request_session.h
@@ -85,7 +85,7 @@
         parts_ = request_parts::create(route_, *view_, state_.random());
         summary_.configuration_version = view_->configuration->version;
         summary_.shards = static_cast<std::uint32_t>(parts_.size());
-        if (servable_part_count(parts_.all(), state_, now) < parts_.needed_count()) {
+        if (!is_servable(parts_, state_, now)) {
             refuse_until_servable("too few backend servers take requests", now);
             return;
         }
@@ -225,6 +225,10 @@
         return std::get_if<gather_plan>(&route_.target);
     }
 
+    [[nodiscard]] bool may_send_again(const request_part& part) const {
+        return may_retry(part, limits_.max_attempts, route_.kind);
+    }
+
     retry::retry_budget& budget_of(const request_part& part, kernel::time_point now) {
         return state_.budget_of(part.service, *view_, now);
     }
@@ -264,7 +268,7 @@
     /// made.
     void retry_after_trial(std::size_t index, kernel::time_point now) {
         auto& part = parts_[index];
-        if (!may_retry(part, limits_.max_attempts, route_.kind)) {
+        if (!may_send_again(part)) {
             part.state = part_state::failed;
             return;
         }
@@ -556,8 +560,7 @@
             return;
         }
         if (is_gather() && replied && !executed && !result.reply.misdirected) {
-            part.state = may_retry(part, limits_.max_attempts, route_.kind) ? part_state::refused
-                                                                            : part_state::failed;
+            part.state = may_send_again(part) ? part_state::refused : part_state::failed;
             refusal_collection_end_ = refusal_collection_end_
                                           ? refusal_collection_end_
                                           : now + state_.options().refusal_collection_time;
@@ -576,7 +579,7 @@
 
     void retry(std::size_t index, bool delivered, kernel::time_point now) {
         auto& part = parts_[index];
-        if (!may_retry(part, limits_.max_attempts, route_.kind)) {
+        if (!may_send_again(part)) {
             part.state = part_state::failed;
             return;
         }
@@ -719,7 +722,7 @@
     /// Refuses the request. If its services have announced pauses, the client may return after
     /// them.
     void refuse_until_servable(std::string_view reason, kernel::time_point now) {
-        refuse(reason, time_until_servable(parts_.all(), parts_.needed_count(), state_, now));
+        refuse(reason, time_until_servable(parts_, state_, now));
     }
 
     void finish(gateway_answer answer) {
--- a/packages/gateway/request_trial.h
+++ b/packages/gateway/request_trial.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <string_view>
 #include <vector>
 
 #include "gateway/crash_quarantine.h"
--- a/packages/proxy/delegated_gather_table.h
+++ b/packages/proxy/delegated_gather_table.h
@@ -43,9 +43,6 @@
     /// Tells the delegate that its first report has arrived.
     void confirm(std::uint64_t number, const std::string& address);
 
-    /// Removes a gather without informing its delegate. Does nothing if it was removed before.
-    void remove(std::uint64_t number) { report_handlers_.erase(number); }
-
     /// Removes a gather and cancels it at its delegate. `reports_missed`: expected reports did not
     /// arrive, so both instances reopen their connections to each other.
     void cancel(std::uint64_t number, const std::string& address, bool reports_missed);
--- a/packages/proxy/peer_delegation_transport.h
+++ b/packages/proxy/peer_delegation_transport.h
@@ -61,7 +61,6 @@
     void gather_locally(std::uint32_t max_attempts) { handlers_.gather_locally(max_attempts); }
 
     void answer(gateway::gateway_answer answer) {
-        table_.remove(number_);
         answer.summary.delegate = delegate_name_;
         handlers_.answer(std::move(answer));
     }
