--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -55,6 +55,8 @@
   file(GLOB SOURCES CONFIGURE_DEPENDS tests/*.cpp)
   add_executable(${NAME}_tests ${SOURCES} $<TARGET_OBJECTS:poplarfront_test_main>)
   target_link_libraries(${NAME}_tests PRIVATE Catch2::Catch2)
+  # Headers of tests/support that need no library.
+  target_include_directories(${NAME}_tests PRIVATE ${PROJECT_SOURCE_DIR}/tests)
   poplarfront_link(${NAME}_tests ${NAME} ${ARG_DEPENDS})
   add_test(NAME ${NAME} COMMAND ${NAME}_tests)
   set_tests_properties(${NAME} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
--- a/packages/gateway/tests/simulation_test.cpp
+++ b/packages/gateway/tests/simulation_test.cpp
@@ -1,18 +1,15 @@
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <map>
 #include <queue>
 #include <set>
 
 #include "fixture.h"
+#include "support/environment.h"
 
 namespace poplarfront::gateway {
 namespace {
 
-std::uint64_t number_from_environment(const char* name, std::uint64_t fallback) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
+using test_support::number_from_environment;
 
 /// Runs one request against backend servers that fail at random, and checks the invariants of the
 /// answer.
--- a/packages/gateway/tests/store_following_simulation_test.cpp
+++ b/packages/gateway/tests/store_following_simulation_test.cpp
@@ -1,5 +1,4 @@
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <deque>
 #include <map>
 #include <string>
@@ -7,14 +6,12 @@
 
 #include "gateway/store_change_log.h"
 #include "kernel/clock_and_random_sources.h"
+#include "support/environment.h"
 
 namespace poplarfront::gateway {
 namespace {
 
-std::uint64_t number_from_environment(const char* name, std::uint64_t fallback) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
+using test_support::number_from_environment;
 
 constexpr std::size_t key_count = 12;
 constexpr std::size_t page_size = 3;
--- a/tests/support/mutated_messages.h
+++ b/tests/support/mutated_messages.h
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdint>
-#include <cstdlib>
 #include <optional>
 #include <string>
 #include <type_traits>
@@ -12,16 +11,12 @@
 
 #include "kernel/clock_and_random_sources.h"
 #include "kernel/result.h"
+#include "support/environment.h"
 
 /// Messages that are changed at random, for tests of decoders. The environment variables
 /// POPLARFRONT_SEED and POPLARFRONT_RUNS set the first seed and the number of messages.
 namespace poplarfront::test_support {
 
-inline std::uint64_t number_from_environment(const char* name, std::uint64_t fallback) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 /// Changes bytes, repeats, removes and swaps ranges, and inserts values that are often mishandled.
 class message_mutator {
 public:
