--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -372,6 +372,13 @@
         }
         return found;
     }
+    /// How old the state is that reads with `staleOk` get. Set before the first call.
+    ms stale_age{0};
+    /// Loses the next response of a watch that returns events: the call is executed, and the
+    /// connection returns nothing further.
+    void lose_next_events() { loses_events_ = true; }
+    /// Number of responses lost so far.
+    [[nodiscard]] int lost_responses() const { return lost_responses_; }
     /// Called before each call is handled, with method and target. False: the call is not executed,
     /// and the connection is closed without a response.
     std::function<bool(const message&, connection&)> before_call;
@@ -394,7 +401,7 @@
         it.revision = ++revision_;
         it.created = it.created == 0 ? revision_ : it.created;
         it.lease = lease_id;
-        history_.push_back({key, it, false});
+        history_.push_back({key, it, false, clock_type::now()});
         changed_.notify_all();
         return revision_;
     }
@@ -402,7 +409,7 @@
         if (items_.erase(key) > 0) {
             item gone;
             gone.revision = ++revision_;
-            history_.push_back({key, gone, true});
+            history_.push_back({key, gone, true, clock_type::now()});
             changed_.notify_all();
         }
         return revision_;
@@ -441,6 +448,13 @@
                 return;
             }
             const auto [status, body] = handle(*call);
+            const auto* events = body.if_contains("events");
+            if (events != nullptr && !events->as_array().empty() && loses_events_.exchange(false)) {
+                ++lost_responses_;
+                while (accepted.read_message(ms{120'000})) {
+                }
+                return;
+            }
             const auto text = boost::json::serialize(body);
             if (!accepted.write("HTTP/1.1 " + std::to_string(status) +
                                 " X\r\nContent-Type: application/json\r\nContent-Length: " +
@@ -477,17 +491,20 @@
         auto query = query_of(target);
         std::unique_lock lock{mutex_};
         end_leases();
+        const auto [items, revision] = query.contains("staleOk")
+                                           ? stale_state()
+                                           : std::pair{items_, revision_};
         if (path == "/v1/kv-key") {
-            const auto it = items_.find(query["key"]);
-            if (it == items_.end()) {
+            const auto it = items.find(query["key"]);
+            if (it == items.end()) {
                 return {404, {}};
             }
             auto found = to_json(it->first, it->second);
-            found["storeRevision"] = revision_;
+            found["storeRevision"] = revision;
             return {200, found};
         }
         if (path == "/v1/kv-range") {
-            return range(query["pathPrefix"], query["after"]);
+            return range(items, revision, query["pathPrefix"], query["after"]);
         }
         if (path == "/v1/kv-watch") {
             return watch(lock, query["pathPrefix"], std::stoull("0" + query["after"]),
@@ -514,12 +531,14 @@
         return {404, {}};
     }
 
-    std::pair<int, boost::json::object> range(const std::string& prefix,
-                                              const std::string& after) {
+    static std::pair<int, boost::json::object> range(const std::map<std::string, item>& items,
+                                                     std::uint64_t revision,
+                                                     const std::string& prefix,
+                                                     const std::string& after) {
         constexpr std::size_t page_items = 500;
         boost::json::array found;
         bool more = false;
-        for (const auto& [key, it] : items_) {
+        for (const auto& [key, it] : items) {
             if (!key.starts_with(prefix) || (!after.empty() && key <= after)) {
                 continue;
             }
@@ -529,7 +548,7 @@
             }
             found.push_back(to_json(key, it));
         }
-        return {200, {{"items", found}, {"hasMore", more}, {"storeRevision", revision_}}};
+        return {200, {{"items", found}, {"hasMore", more}, {"storeRevision", revision}}};
     }
 
     std::pair<int, boost::json::object> watch(std::unique_lock<std::mutex>& lock,
@@ -587,8 +606,29 @@
         std::string key;
         item value;
         bool deleted = false;
+        clock_type::time_point at;
     };
 
+    /// The state `stale_age` ago.
+    [[nodiscard]] std::pair<std::map<std::string, item>, std::uint64_t> stale_state() const {
+        std::map<std::string, item> items;
+        std::uint64_t revision = 1;
+        for (const auto& it : history_) {
+            if (it.at > clock_type::now() - stale_age) {
+                break;
+            }
+            revision = it.value.revision;
+            if (it.deleted) {
+                items.erase(it.key);
+            } else {
+                items[it.key] = it.value;
+            }
+        }
+        return {items, revision};
+    }
+
+    std::atomic<bool> loses_events_ = false;
+    std::atomic<int> lost_responses_ = 0;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, item> items_;
