--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Shows an instance whose traffic thread hangs while one request waits for its retry.
+# Shows a configuration that is not in force in time after the store has lost one response.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
