--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,5 +1,5 @@
-// A retry waits for a free connection to the only other leaf, which is slow. Meanwhile other requests
-// of the instance are not answered.
+// A retry waits for a free connection to the only other leaf, which is slow. Meanwhile other
+// requests of the instance are not answered.
 
 #include <random>
 
@@ -170,15 +170,16 @@
 }
 
 bool run(bench& made) {
+    made.region = "bengal-south";
+    made.budget_slack = "116";
     auto& platform = *new store{made.ip(200)};
     int host = 100;
     const auto start_leaf = [&](const std::string& service, int slot_count, int work_ms) {
         const auto id = "i-" + std::to_string(host);
         auto* made_leaf = new leaf{id, slot_count, work_ms};
-        auto* listening = new server{
-            made.ip(host++), [made_leaf](connection& caller) { made_leaf->serve(caller); }};
-        platform.put("servers/" + id,
-                     registration(service, listening->address(), "howrah-sheds"));
+        auto* listening = new server{made.ip(host++),
+                                     [made_leaf](connection& caller) { made_leaf->serve(caller); }};
+        platform.put("servers/" + id, registration(service, listening->address(), "howrah-sheds"));
         return made_leaf;
     };
     auto* slow = start_leaf("pole-history", slots, ledger_work_ms);
@@ -204,9 +205,8 @@
     const auto send = [&](const kind& sent_kind) {
         const double gap_s = sent_kind.clients / sent_kind.per_s;
         std::unique_ptr<connection> client;
-        auto next = clock_type::now() +
-                    std::chrono::duration_cast<clock_type::duration>(
-                        std::chrono::duration<double>(gap_s * uniform()));
+        auto next = clock_type::now() + std::chrono::duration_cast<clock_type::duration>(
+                                            std::chrono::duration<double>(gap_s * uniform()));
         while (!stop) {
             std::this_thread::sleep_until(next);
             next = std::max(next, clock_type::now()) +
@@ -225,8 +225,7 @@
                 continue;
             }
             const auto answer = client->read_message(ms{10'000});
-            const auto took =
-                std::chrono::duration_cast<ms>(clock_type::now() - sent_at);
+            const auto took = std::chrono::duration_cast<ms>(clock_type::now() - sent_at);
             if (!answer || answer->field("Connection") == "close") {
                 client.reset();
             }
@@ -242,8 +241,7 @@
                 ++overdue;
                 made.note(id + " (" + sent_kind.name + ", timeoutMs " +
                           std::to_string(sent_kind.timeout.count()) + "), sent at " +
-                          std::to_string(
-                              std::chrono::duration_cast<ms>(sent_at - start).count()) +
+                          std::to_string(std::chrono::duration_cast<ms>(sent_at - start).count()) +
                           " ms, is answered after " + std::to_string(took.count()) + " ms");
             }
         }
@@ -288,4 +286,6 @@
 
 }  // namespace
 
-int main(int argc, char** argv) { return run_case(8, argc, argv, run); }
+int main(int argc, char** argv) {
+    return run_case(8, argc, argv, run);
+}
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -124,4 +124,6 @@
 
 }  // namespace
 
-int main(int argc, char** argv) { return run_case(9, argc, argv, run); }
+int main(int argc, char** argv) {
+    return run_case(9, argc, argv, run);
+}
--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -52,7 +53,9 @@
     using std::runtime_error::runtime_error;
 };
 
-inline void sleep_for(ms time) { std::this_thread::sleep_for(time); }
+inline void sleep_for(ms time) {
+    std::this_thread::sleep_for(time);
+}
 
 /// Lines of the record, each with the time since the start of the case.
 class record {
@@ -223,8 +226,7 @@
 private:
     [[nodiscard]] bool wait(short events, clock_type::time_point until) const {
         while (true) {
-            const auto left =
-                std::chrono::duration_cast<ms>(until - clock_type::now()).count();
+            const auto left = std::chrono::duration_cast<ms>(until - clock_type::now()).count();
             pollfd ready{fd_, events, 0};
             const int n = ::poll(&ready, 1, static_cast<int>(std::max<long>(0, left)));
             if (n > 0) {
@@ -491,9 +493,8 @@
         auto query = query_of(target);
         std::unique_lock lock{mutex_};
         end_leases();
-        const auto [items, revision] = query.contains("staleOk")
-                                           ? stale_state()
-                                           : std::pair{items_, revision_};
+        const auto [items, revision] =
+            query.contains("staleOk") ? stale_state() : std::pair{items_, revision_};
         if (path == "/v1/kv-key") {
             const auto it = items.find(query["key"]);
             if (it == items.end()) {
@@ -514,8 +515,7 @@
             return transact(call.body);
         }
         if (path == "/v1/kv-lease") {
-            const auto ttl =
-                boost::json::parse(call.body).at("ttlMs").to_number<std::int64_t>();
+            const auto ttl = boost::json::parse(call.body).at("ttlMs").to_number<std::int64_t>();
             leases_[++last_lease_] = {ms{ttl}, clock_type::now() + ms{ttl}};
             return {200, {{"lease", last_lease_}, {"ttlMs", ttl}}};
         }
@@ -671,12 +671,14 @@
         ::signal(SIGPIPE, SIG_IGN);
         note(trouble_ ? "the disruption is on" : "the disruption is off");
     }
-    ~bench() {
+    /// Ends all processes that were started, and removes the temporary folder.
+    void finish() {
         for (const auto& [pid, name] : processes_) {
             ::kill(pid, SIGCONT);
             ::kill(pid, SIGKILL);
             ::waitpid(pid, nullptr, 0);
         }
+        processes_.clear();
         if (std::getenv("KEEP") == nullptr) {
             for (const auto& it : files_) {
                 ::unlink(it.c_str());
@@ -685,6 +687,10 @@
         }
     }
 
+    /// Settings that differ between the sites. Set before the first instance is started.
+    std::string region = "monteregie";
+    std::string budget_slack = "122";
+
     [[nodiscard]] bool trouble() const { return trouble_; }
     void note(const std::string& line) { record_.add(line); }
 
@@ -721,14 +727,14 @@
         const std::map<std::string, std::string> values{
             {"node", "front-" + zone + "-" + std::to_string(host)},
             {"zone", zone},
-            {"region", "monteregie"},
+            {"region", region},
             {"ip", made.ip},
             {"limits.cpuShare", "0.17"},
             {"listen.front", at(clients)},
             {"listen.control", at(control)},
             {"listen.ready", at(ready)},
             {"bounds.retryBudgetRatio", "0.2"},
-            {"bounds.budgetSlack", "122"},
+            {"bounds.budgetSlack", budget_slack},
             {"platform.address", store_address},
             {"seeds", ip(1) + ":" + std::to_string(control)}};
         std::ifstream in{"deploy/front.ini"};
@@ -760,6 +766,8 @@
         const std::string path = "PATH=" + std::string{std::getenv("PATH")};
         const pid_t pid = ::fork();
         if (pid == 0) {
+            // It ends with this program, however that ends.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(out, STDOUT_FILENO);
             ::dup2(out, STDERR_FILENO);
@@ -807,8 +815,7 @@
             int status = 0;
             if (::waitpid(pid, &status, WNOHANG) == pid) {
                 processes_.erase(pid);
-                note("pid " + std::to_string(pid) + " has ended, status " +
-                     std::to_string(status));
+                note("pid " + std::to_string(pid) + " has ended, status " + std::to_string(status));
                 return true;
             }
             sleep_for(ms{10});
@@ -838,12 +845,12 @@
 };
 
 /// Runs a case. `body` returns whether the rule was broken.
-inline int run_case(int number, int argc, char** argv,
-                    const std::function<bool(bench&)>& body) {
+inline int run_case(int number, int argc, char** argv, const std::function<bool(bench&)>& body) {
     const std::string folder = argc > 1 ? argv[1] : ".";
     int code = exit_not_run;
     try {
-        bench made{number, folder};
+        // Not deleted: connections of the stand-ins may still be served on their threads.
+        auto& made = *new bench{number, folder};
         try {
             const bool broken = body(made);
             made.note(broken ? "result: the rule is broken" : "result: the rule holds");
@@ -853,10 +860,10 @@
             made.note(std::string{"not run: "} + error.what());
             std::cerr << "not run: " << error.what() << std::endl;
         }
+        made.finish();
     } catch (const std::exception& error) {
         std::cerr << "not run: " << error.what() << std::endl;
     }
-    // Connections of the stand-ins may still be served on their threads.
     std::cout.flush();
     ::_exit(code);
 }
