--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -24,10 +24,10 @@
 const kind release{"release", 22.5, ms{400}, 60, 40, 5, 0.75};
 const kind sweep{"sweep", 67.5, ms{800}, 150, 80, 50, 0.89};
 constexpr int ledger_work_ms = 160;
-constexpr int slots = 6;
+constexpr int slots = 2;
 constexpr int gather_work_ms = 15;
 constexpr int gather_slots = 2;
-constexpr int queue = 8;
+constexpr int queue = 12;
 /// RULES.md, CONFIG: a final answer is due this long after timeoutMs.
 constexpr ms answer_slack{500};
 /// The doses of the site file for services with two leafs.
@@ -52,7 +52,7 @@
                                                {"protocol", "h1"},
                                                {"tls", false}});
     };
-    add_service("pole-history", 105);
+    add_service("shed-desk-4", 56);
     for (int it = 0; it < shards; ++it) {
         gather.push_back(boost::json::string{"shed-desk-" + std::to_string(it)});
         add_service("shed-desk-" + std::to_string(it), 56);
@@ -68,7 +68,7 @@
                                   {"priority", 2},
                                   {"maxAttempts", 2}};
         if (it->top_k == 0) {
-            route["service"] = "pole-history";
+            route["service"] = "shed-desk-4";
         } else {
             route["gather"] = gather;
             route["topK"] = it->top_k;
@@ -182,8 +182,8 @@
         platform.put("servers/" + id, registration(service, listening->address(), "howrah-sheds"));
         return made_leaf;
     };
-    auto* slow = start_leaf("pole-history", slots, ledger_work_ms);
-    auto* losing = start_leaf("pole-history", slots, ledger_work_ms);
+    auto* slow = start_leaf("shed-desk-4", slots, ledger_work_ms);
+    auto* losing = start_leaf("shed-desk-4", slots, ledger_work_ms);
     for (int it = 0; it < shards; ++it) {
         start_leaf("shed-desk-" + std::to_string(it), gather_slots, gather_work_ms);
         start_leaf("shed-desk-" + std::to_string(it), gather_slots, gather_work_ms);
@@ -255,7 +255,7 @@
     sleep_for(ms{5'000});
     const auto used_before = processor_time(front.pid);
     if (made.trouble()) {
-        made.note("one leaf of pole-history turns slow, the other loses answers");
+        made.note("one leaf of shed-desk-4 turns slow, the other loses answers");
         slow->set_slow(slow_factor);
         losing->set_lost(lost_share);
     }
